Name a successor for each chunk whose root is gone

Cause: the demo took 11 to 14 s to all replicas and up to 2.0 copies from the origin. Instances that had not heard of the ticket yet answered "not wanted" and were excluded like dead ones, so their peers turned to other regions and to the origin; the pace controller began at 64 KiB/s and grew by a tenth a slice. When the root of a stripe died, all its children turned to one successor.

Ruled out: the origin's link (0.7 s for a set) and engine loads (below 0.1 s). A port taken by an outgoing connection ended one demo run; the demo now uses ports below the ephemeral range.

Before: 11.5 s and 1.0 copies for v1, 4.2 s and 1.5 copies for v2 (half of v2 is shared with v1).

The case of 48 instances in 2 regions with a stalled link still takes 1,012 s and is next.

--- a/cmd/mimosaward-demo/main.go
+++ b/cmd/mimosaward-demo/main.go
@@ -18,6 +18,7 @@
 type options struct {
 	Binaries string `long:"binaries" default:"bin" description:"Directory with the programs"`
 	Site     string `long:"site" default:"tegaki" choice:"tegaki" choice:"cairnloch" description:"Shape of the installation"`
+	Keep     bool   `long:"keep" description:"Keep the log and settings files"`
 }
 
 // Execute implements flags.Commander.
@@ -28,7 +29,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	running := &demo.Demo{Site: site, Binaries: o.Binaries, Out: os.Stdout}
+	running := &demo.Demo{Site: site, Binaries: o.Binaries, Out: os.Stdout, Keep: o.Keep}
 	return running.Run(ctx)
 }
 
--- a/internal/agent/chunks.go
+++ b/internal/agent/chunks.go
@@ -34,6 +34,7 @@
 	request.Length, _ = strconv.Atoi(c.Query("length"))
 	hold, _ := time.ParseDuration(c.Query("hold"))
 	request.Hold = min(hold, maxHold)
+	request.TakeOver = c.Query("takeOver") == "true"
 	served, err := a.fetcher.Serve(c.Context(), request)
 	switch {
 	case errors.Is(err, exchange.ErrNotYet):
@@ -49,7 +50,8 @@
 
 // fetchPeer asks another agent for a chunk or a slice of it.
 func (a *Agent) fetchPeer(_ context.Context, peer roster.Instance, request exchange.Request) (exchange.Answer, error) {
-	address := fmt.Sprintf("http://%s/chunks/%s?offset=%d&length=%d&hold=%s", peer.WorkAddress, request.Chunk, request.Offset, request.Length, request.Hold)
+	address := fmt.Sprintf("http://%s/chunks/%s?offset=%d&length=%d&hold=%s&takeOver=%t",
+		peer.WorkAddress, request.Chunk, request.Offset, request.Length, request.Hold, request.TakeOver)
 	response, err := a.peers.Do(upstream.Request{Method: fiber.MethodGet, URL: address})
 	if err != nil {
 		return exchange.Answer{}, errors.Mark(err, exchange.ErrStalled)
--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -22,11 +22,12 @@
 )
 
 const (
-	stopTimeout    = 40 * time.Second
-	readyTimeout   = 30 * time.Second
-	pollInterval   = 50 * time.Millisecond
-	originRate     = 24 << 20
-	servicesInZone = 1
+	stopTimeout  = 40 * time.Second
+	readyTimeout = 30 * time.Second
+	pollInterval = 50 * time.Millisecond
+	originRate   = 24 << 20
+	firstPort    = 20000
+	lastPort     = 30000
 )
 
 // cluster is the running processes of the demo.
@@ -42,6 +43,7 @@
 	processes map[string]*child
 	entries   []*node
 	agents    []*node
+	nextPort  int
 }
 
 // child is one process.
@@ -65,10 +67,10 @@
 
 func newCluster(site Site, binaries, directory string) (*cluster, error) {
 	c := &cluster{
-		site: site, binaries: binaries, directory: directory, processes: map[string]*child{},
+		site: site, binaries: binaries, directory: directory, nextPort: firstPort, processes: map[string]*child{},
 		http: platform.NewHTTP(func(address string) (net.Conn, error) { return net.DialTimeout("tcp", address, time.Second) }),
 	}
-	addresses, err := freeAddresses(3)
+	addresses, err := c.freeAddresses(3)
 	if err != nil {
 		return nil, err
 	}
@@ -76,16 +78,25 @@
 	return c, nil
 }
 
-// freeAddresses returns loopback addresses that nothing listens on.
-func freeAddresses(count int) ([]string, error) {
+// freeAddresses returns loopback addresses that nothing listens on. The ports
+// are below those that the system gives to outgoing connections, so none is
+// taken before its process listens.
+func (c *cluster) freeAddresses(count int) ([]string, error) {
 	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for len(addresses) < count {
+		if c.nextPort > lastPort {
+			return nil, errors.Newf("no free ports between %d and %d", firstPort, lastPort)
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", c.nextPort)
+		c.nextPort++
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
+			continue
+		}
+		if err := listener.Close(); err != nil {
 			return nil, err
 		}
-		defer func() { _ = listener.Close() }()
-		addresses = append(addresses, listener.Addr().String())
+		addresses = append(addresses, address)
 	}
 	return addresses, nil
 }
@@ -156,7 +167,7 @@
 
 // startEntry runs one entry.
 func (c *cluster) startEntry(name string, place Place) error {
-	addresses, err := freeAddresses(3)
+	addresses, err := c.freeAddresses(3)
 	if err != nil {
 		return err
 	}
@@ -181,7 +192,7 @@
 
 // startEndpoint runs an endpoint with an agent beside it.
 func (c *cluster) startEndpoint(name, pool, kind string, place Place) error {
-	addresses, err := freeAddresses(1)
+	addresses, err := c.freeAddresses(1)
 	if err != nil {
 		return err
 	}
@@ -200,7 +211,7 @@
 
 // startAgent runs an agent beside the endpoint at the address.
 func (c *cluster) startAgent(name, pool, kind, endpoint string, place Place) error {
-	addresses, err := freeAddresses(3)
+	addresses, err := c.freeAddresses(3)
 	if err != nil {
 		return err
 	}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -33,6 +33,8 @@
 	Site     Site
 	Binaries string
 	Out      io.Writer
+	// Keep keeps the log and settings files of every process.
+	Keep bool
 
 	cluster *cluster
 	load    *load
@@ -56,6 +58,10 @@
 	if err := d.report.write(d.Out); err != nil {
 		return errors.Wrapf(err, "logs are in %s", directory)
 	}
+	if d.Keep {
+		_, _ = fmt.Fprintf(d.Out, "logs are in %s\n", directory)
+		return nil
+	}
 	return os.RemoveAll(directory)
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -81,10 +81,11 @@
 }
 
 // stop leaves the list of addresses, serves callers that still hold the old
-// list for as long as they may keep it, then finishes what is in flight.
+// list for as long as they may keep it, then finishes what is in flight. Other
+// entries may hand out the old list until they ask for this entry's load again.
 func (e *Entry) stop(ctx context.Context) {
 	e.drain.Announce()
-	duty.Sleep(ctx, min(e.Settings.AddressKeep, e.Settings.DrainTimeout/2))
+	duty.Sleep(ctx, min(peerInterval+peerTimeout+e.Settings.AddressKeep, e.Settings.DrainTimeout/2))
 	e.drain.Wait(ctx, e.Settings.DrainTimeout/2, e.Log)
 	e.claims.Flush(ctx)
 }
--- a/internal/exchange/burst.go
+++ b/internal/exchange/burst.go
@@ -20,6 +20,9 @@
 	manifest *weights.Manifest
 	layout   *swarm.Layout
 	suspects *suspects
+	start    time.Time
+	// takeOvers is set by prepare.
+	takeOvers *takeOvers
 
 	mu sync.Mutex
 	// queues holds the chunks of each stripe that nobody fetches yet.
@@ -30,6 +33,8 @@
 
 // prepare deals the missing chunks to the stripes.
 func (b *burst) prepare() {
+	b.start = time.Now()
+	b.takeOvers = newTakeOvers(b.manifest.Chunks())
 	b.queues = make([][]int, b.layout.Stripes())
 	for index, chunk := range b.manifest.Chunks() {
 		if !b.fetcher.Store.Has(chunk) {
@@ -108,7 +113,7 @@
 			return
 		}
 		impatient := assisting || time.Since(start) > b.patience()
-		if !b.tryRound(ctx, index, impatient) {
+		if !b.tryRound(ctx, b.sources(index), index, impatient) {
 			duty.Sleep(ctx, retryPause)
 		}
 	}
@@ -140,11 +145,11 @@
 // each of the others of its kind. It turns to sources of a farther kind only
 // when every source of the nearer kind is excluded or unreachable. It reports
 // whether any source was reachable.
-func (b *burst) tryRound(ctx context.Context, index int, impatient bool) bool {
-	reachable := false
+func (b *burst) tryRound(ctx context.Context, sources []swarm.Source, index int, impatient bool) bool {
+	reachable, rootReachable := false, false
 	kind := swarm.Peer
 	hold := parentHold
-	for _, source := range b.sources(index) {
+	for _, source := range sources {
 		if b.suspects.excluded(source.Name()) {
 			continue
 		}
@@ -152,16 +157,26 @@
 			break
 		}
 		kind = source.Kind
-		err := b.fetchFrom(ctx, source, index, hold)
+		takeOver := source.Succession > 0 && !rootReachable
+		err := b.fetchFrom(ctx, source, index, hold, takeOver)
 		if err == nil {
 			return true
 		}
 		hold = 0
-		reachable = reachable || errors.Is(err, ErrNotYet)
+		alive := b.mayHaveLater(err)
+		reachable = reachable || alive
+		rootReachable = rootReachable || (alive && source.Succession >= 0)
 	}
 	return reachable
 }
 
+// mayHaveLater reports whether the source that gave the error is alive and may
+// have the chunk later.
+func (b *burst) mayHaveLater(err error) bool {
+	early := time.Since(b.start) < notWantedGrace
+	return errors.Is(err, ErrNotYet) || (early && errors.Is(err, ErrNotWanted))
+}
+
 func (b *burst) sources(index int) []swarm.Source {
 	if b.fetcher.Sources != nil {
 		return b.fetcher.Sources(b.layout, index)
@@ -170,9 +185,10 @@
 }
 
 // fetchFrom gets a chunk from one source, verifies it and holds it.
-func (b *burst) fetchFrom(ctx context.Context, source swarm.Source, index int, hold time.Duration) error {
+func (b *burst) fetchFrom(ctx context.Context, source swarm.Source, index int, hold time.Duration, takeOver bool) error {
 	digest := b.manifest.Chunks()[index]
-	data, err := b.transfer(ctx, source, digest, hold)
+	request := Request{Chunk: digest, Hold: hold, TakeOver: takeOver}
+	data, err := b.transfer(ctx, source, request)
 	if err != nil {
 		b.note(ctx, source, err)
 		return err
@@ -186,22 +202,26 @@
 	return err
 }
 
-func (b *burst) transfer(ctx context.Context, source swarm.Source, digest weights.Digest, hold time.Duration) ([]byte, error) {
+func (b *burst) transfer(ctx context.Context, source swarm.Source, request Request) ([]byte, error) {
 	switch source.Kind {
 	case swarm.Origin:
 		b.fetcher.counters.OriginChunks.Add(1)
-		return b.fetcher.FetchOrigin(ctx, digest)
+		return b.fetcher.FetchOrigin(ctx, request.Chunk)
 	case swarm.FarPeer:
-		return b.fetchSlices(ctx, source, digest, hold)
+		return b.fetchSlices(ctx, source, request)
 	default:
 		b.fetcher.counters.PeerRequests.Add(1)
-		answer, err := b.fetcher.FetchPeer(ctx, source.Peer, Request{Chunk: digest, Hold: hold})
+		answer, err := b.fetcher.FetchPeer(ctx, source.Peer, request)
 		return answer.Data, err
 	}
 }
 
 func (b *burst) note(ctx context.Context, source swarm.Source, err error) {
-	if ctx.Err() != nil || errors.Is(err, ErrNotYet) {
+	if errors.Is(err, ErrNotWanted) {
+		// The answer came at once; asking again at once would be a busy loop.
+		duty.Sleep(ctx, retryPause)
+	}
+	if ctx.Err() != nil || b.mayHaveLater(err) {
 		return
 	}
 	b.suspects.failed(source.Name())
--- a/internal/exchange/fetcher.go
+++ b/internal/exchange/fetcher.go
@@ -34,6 +34,13 @@
 	lagFactor      = 2
 	lagChunks      = 2
 	assistInterval = 500 * time.Millisecond
+	// notWantedGrace is how long after the start of a burst an instance that
+	// does not want the set yet counts as one that will.
+	notWantedGrace = 10 * time.Second
+	// takeOverWorkers fetch chunks that other instances asked for because the
+	// root for them is gone; takeOverRing bounds those that wait.
+	takeOverWorkers = 2
+	takeOverRing    = 64
 	// WorkersPerStripe is the number of chunks of a stripe fetched at a time.
 	WorkersPerStripe = 2
 	// sliceBytes is the size of one request over a thin link.
@@ -64,6 +71,7 @@
 	Unit float64
 
 	suspects atomic.Pointer[suspects]
+	current  atomic.Pointer[burst]
 	links    linkTable
 	counters Counters
 }
@@ -89,13 +97,17 @@
 		layout:   swarm.NewLayout(manifest.Digest().String(), f.Self, members, f.Home, f.FanOut),
 	}
 	burst.prepare()
+	f.current.Store(burst)
+	defer f.current.CompareAndSwap(burst, nil)
 	group := duty.NewGroup(ctx)
+	burst.takeOvers.Go(ctx, burst)
 	for stripe := range burst.layout.Stripes() {
 		for range WorkersPerStripe {
 			group.Go(func(ctx context.Context) { burst.work(ctx, stripe) })
 		}
 	}
 	group.Wait()
+	burst.takeOvers.Stop()
 	if err := ctx.Err(); err != nil {
 		return errors.Wrapf(err, "fetch weight set %s", manifest.Digest())
 	}
@@ -105,6 +117,9 @@
 // Serve returns a chunk or a slice of it to another instance.
 func (f *Fetcher) Serve(ctx context.Context, request Request) (Answer, error) {
 	start := time.Now()
+	if current := f.current.Load(); request.TakeOver && current != nil {
+		current.takeOvers.Offer(request.Chunk)
+	}
 	ctx, cancel := context.WithTimeout(ctx, max(request.Hold, time.Millisecond))
 	defer cancel()
 	data, err := f.Store.Get(ctx, request.Chunk)
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -14,6 +14,9 @@
 	Length int
 	// Hold is how long the peer may wait for the chunk to arrive.
 	Hold time.Duration
+	// TakeOver asks the peer to get the chunk from outside its region, since
+	// the instances before it in the succession are gone.
+	TakeOver bool
 }
 
 // Answer is what a peer sent. Total is the size of the whole chunk. Waited is
--- a/internal/exchange/slices.go
+++ b/internal/exchange/slices.go
@@ -9,7 +9,6 @@
 
 	"github.com/mimosaward/mimosaward/internal/pace"
 	"github.com/mimosaward/mimosaward/internal/swarm"
-	"github.com/mimosaward/mimosaward/internal/weights"
 )
 
 // linkTable holds the pace controller of the link from each other region.
@@ -41,9 +40,9 @@
 
 // fetchSlices gets a chunk over a thin link in paced slices, so that live
 // traffic never waits behind a whole chunk.
-func (b *burst) fetchSlices(ctx context.Context, source swarm.Source, digest weights.Digest, hold time.Duration) ([]byte, error) {
+func (b *burst) fetchSlices(ctx context.Context, source swarm.Source, request Request) ([]byte, error) {
 	link := b.fetcher.link(source.Peer.Region)
-	request := Request{Chunk: digest, Length: b.fetcher.sliceBytes(), Hold: hold}
+	request.Length = b.fetcher.sliceBytes()
 	var data []byte
 	for {
 		if err := link.Wait(ctx, request.Length); err != nil {
--- a/internal/pace/controller.go
+++ b/internal/pace/controller.go
@@ -17,7 +17,7 @@
 
 const (
 	// initialRate is the rate before the first measurement, in bytes a second.
-	initialRate = 64 << 10
+	initialRate = 256 << 10
 	// minRate keeps a starved sender probing, in bytes a second.
 	minRate = 32 << 10
 	// increaseShare is the growth of a rate for each slice without a queue.
@@ -25,6 +25,8 @@
 	// increaseFloor is the least growth for each slice, in bytes a second, so
 	// that slow senders catch up with fast ones.
 	increaseFloor = 4 << 10
+	// startShare is the growth for each slice until the first queue is met.
+	startShare = 0.5
 	// decreaseShare is the cut for a queue twice as long as the target.
 	decreaseShare = 0.25
 	// baseWindow is how long the shortest round trip counts.
@@ -92,7 +94,7 @@
 	queue := roundTrip - c.base
 	excess := float64(queue-c.Target) / float64(c.Target)
 	if excess < 0 {
-		c.rate += -excess * max(c.rate*increaseShare, increaseFloor*c.Unit)
+		c.rate += -excess * c.increase()
 		return
 	}
 	// One queue is seen by every slice in flight; it is answered once.
@@ -103,6 +105,14 @@
 	c.rate = max(minRate*c.Unit, c.rate*(1-decreaseShare*min(1, excess+0.5)))
 }
 
+// increase returns the growth for one slice without a queue.
+func (c *Controller) increase() float64 {
+	if c.lastCut.IsZero() {
+		return c.rate * startShare
+	}
+	return max(c.rate*increaseShare, increaseFloor*c.Unit)
+}
+
 // Penalize slows down after a slice that failed or timed out.
 func (c *Controller) Penalize() {
 	c.mu.Lock()
--- a/internal/swarm/source.go
+++ b/internal/swarm/source.go
@@ -1,6 +1,10 @@
 package swarm
 
-import "github.com/mimosaward/mimosaward/internal/roster"
+import (
+	"slices"
+
+	"github.com/mimosaward/mimosaward/internal/roster"
+)
 
 // SourceKind says what a source is.
 type SourceKind int
@@ -19,6 +23,22 @@
 type Source struct {
 	Kind SourceKind
 	Peer roster.Instance
+	// Succession is the place of a peer of the same region in the succession
+	// of the root for the chunk, 0 for the root itself, or NotInSuccession.
+	Succession int
+}
+
+// NotInSuccession is the succession of a source that is never the root.
+const NotInSuccession = -1
+
+var origin = Source{Kind: Origin, Succession: NotInSuccession}
+
+func peer(instance roster.Instance) Source {
+	return Source{Kind: Peer, Peer: instance, Succession: NotInSuccession}
+}
+
+func farPeer(instance roster.Instance) Source {
+	return Source{Kind: FarPeer, Peer: instance, Succession: NotInSuccession}
 }
 
 // Name identifies the source in logs and for exclusion.
@@ -39,51 +59,65 @@
 		return l.upstream(chunk)
 	}
 	parentRank := position*l.own.stripes + stripe
-	sources := []Source{{Kind: Peer, Peer: l.own.ranked[parentRank]}}
+	sources := []Source{peer(l.own.ranked[parentRank])}
 	if position > 0 {
-		sources = l.appendAdopters(sources, stripe, parentRank)
+		sources = l.appendAdopters(sources, chunk, parentRank)
 	}
-	sources = l.appendPredecessors(sources, stripe)
+	sources = l.appendSuccession(sources, chunk)
 	return append(l.withoutSelf(sources), l.upstream(chunk)...)
 }
 
+// RootSources returns where self gets a chunk after another instance asked it
+// to take over as the root of the chunk's stripe: from the instances before
+// self in the succession if any is left, otherwise from outside the region.
+func (l *Layout) RootSources(chunk int) []Source {
+	return append(l.withoutSelf(l.appendSuccession(nil, chunk)), l.upstream(chunk)...)
+}
+
 // appendAdopters adds the nodes that have capacity to spare when a parent is
 // gone: that parent's own parents in every stripe, in an order that differs
-// between siblings.
-func (l *Layout) appendAdopters(sources []Source, stripe, parentRank int) []Source {
-	turn := l.own.slot(stripe, l.index)
+// between siblings and chunks.
+func (l *Layout) appendAdopters(sources []Source, chunk, parentRank int) []Source {
+	stripe := l.own.stripe(chunk)
+	turn := l.own.slot(stripe, l.index) + chunk/len(l.own.ranked)
 	for offset := range l.own.stripes {
 		other := (stripe + 1 + turn + offset) % l.own.stripes
 		if above, ok := l.own.parent(other, parentRank); ok {
-			sources = appendNew(sources, Source{Kind: Peer, Peer: l.own.node(other, above)})
+			sources = appendNew(sources, peer(l.own.node(other, above)))
 		}
 	}
 	return sources
 }
 
-// maxPredecessors bounds the instances that must be gone before an instance
-// takes over as the root of a stripe.
-const maxPredecessors = 8
-
-// appendPredecessors adds the instances that come before self in the
-// succession of the stripe's root: its inner nodes in order, then the others.
-// The first of them that is not gone is the root.
-func (l *Layout) appendPredecessors(sources []Source, stripe int) []Source {
-	own := l.own
-	for position := range min(maxPredecessors, own.inner(stripe)) {
-		rank := position*own.stripes + stripe
+// appendSuccession adds the instances that may be the root for a chunk, up to
+// self. The first of them that is not gone is the root.
+func (l *Layout) appendSuccession(sources []Source, chunk int) []Source {
+	for place, rank := range l.own.succession(chunk) {
 		if rank == l.index {
-			return sources
+			break
 		}
-		sources = appendNew(sources, Source{Kind: Peer, Peer: own.ranked[rank]})
+		sources = appendNew(sources, Source{Kind: Peer, Peer: l.own.ranked[rank], Succession: place})
 	}
-	for rank := range min(maxPredecessors, len(own.ranked)) {
-		if rank == l.index {
-			return sources
+	return sources
+}
+
+// maxSuccession bounds the instances of a region that are asked to be the root
+// for a chunk.
+const maxSuccession = 4
+
+// succession returns the ranks that are the root for a chunk, one after the
+// other: the stripe's root, then instances that differ from chunk to chunk, so
+// that a lost root's work is spread over the region.
+func (r *region) succession(chunk int) []int {
+	ranks := []int{r.stripe(chunk)}
+	next := chunk%len(r.ranked) + chunk/len(r.ranked)
+	for len(ranks) < min(maxSuccession, len(r.ranked)) {
+		next = (next + 1) % len(r.ranked)
+		if !slices.Contains(ranks, next) {
+			ranks = append(ranks, next)
 		}
-		sources = appendNew(sources, Source{Kind: Peer, Peer: own.ranked[rank]})
 	}
-	return sources
+	return ranks
 }
 
 // upstream returns where a stripe's root gets a chunk. In the home region that
@@ -92,7 +126,7 @@
 // link carries a part of the weights, and each chunk at most once.
 func (l *Layout) upstream(chunk int) []Source {
 	if l.self.Region == l.home || l.homeRegion() == nil {
-		return []Source{{Kind: Origin}}
+		return []Source{origin}
 	}
 	var sources []Source
 	first := l.first(chunk)
@@ -105,19 +139,16 @@
 			sources = l.appendFar(sources, other, chunk)
 		}
 	}
-	return append(sources, Source{Kind: Origin})
+	return append(sources, origin)
 }
 
-// farSources is the number of instances of another region to try.
-const farSources = 3
-
-// appendFar adds inner nodes of the chunk's stripe in another region, the last
-// one first: it has the fewest children.
+// appendFar adds instances of another region that have the chunk early and few
+// children: the last inner node of its stripe, then those that may be its root.
 func (l *Layout) appendFar(sources []Source, other *region, chunk int) []Source {
 	stripe := other.stripe(chunk)
-	inner := other.inner(stripe)
-	for offset := range min(farSources, inner) {
-		sources = appendNew(sources, Source{Kind: FarPeer, Peer: other.node(stripe, inner-1-offset)})
+	sources = appendNew(sources, farPeer(other.node(stripe, other.inner(stripe)-1)))
+	for _, rank := range other.succession(chunk) {
+		sources = appendNew(sources, farPeer(other.ranked[rank]))
 	}
 	return sources
 }
@@ -155,8 +186,9 @@
 }
 
 func appendNew(sources []Source, added Source) []Source {
-	for _, source := range sources {
-		if source.Kind == added.Kind && source.Peer.Name == added.Peer.Name {
+	for index := range sources {
+		if sources[index].Kind == added.Kind && sources[index].Peer.Name == added.Peer.Name {
+			sources[index].Succession = max(sources[index].Succession, added.Succession)
 			return sources
 		}
 	}
