Test the promises about tickets and zones on a whole system in virtual time

Cause: the promises had no proof under failure. A bubble of virtual time now runs 3 entries, 9 agents and the fakes, with paths that tests cut and freeze.

The first run never ended: a child whose parent had not begun a beat pulled again and again without a pause, since beat 0 meant both "first pull" and "no beat yet". Ruled out: the fakes and the network. A child now starts with no beat, and pulls at most every 50 ms.

--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -2,17 +2,22 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/mimosaward/mimosaward/internal/duty"
 	"github.com/mimosaward/mimosaward/internal/event"
 	"github.com/mimosaward/mimosaward/internal/roster"
 )
 
+// noBeat is the beat of a child that has not pulled from its parent yet, so
+// that the parent answers at once.
+const noBeat = -1
+
 // follow pulls from a parent while this process is not a reader. After a
 // failure it moves to the next parent; when the instance list changes it goes
 // back to the preferred one.
 func (r *Relay) follow(ctx context.Context) {
-	var beat int64
+	beat := int64(noBeat)
 	var current string
 	choice := 0
 	version := int64(-1)
@@ -28,9 +33,10 @@
 		}
 		parent := at.parents[choice%len(at.parents)]
 		if parent.Name != current {
-			current, beat = parent.Name, 0
+			current, beat = parent.Name, noBeat
 			r.Log.Emit(event.ParentChanged, event.Fields{"parent": parent.Name})
 		}
+		start := time.Now()
 		next, err := r.pullParent(ctx, at, parent, beat)
 		if err != nil {
 			choice++
@@ -38,15 +44,12 @@
 			continue
 		}
 		beat = next
+		duty.Sleep(ctx, minPullInterval-time.Since(start))
 	}
 }
 
 func (r *Relay) pullParent(ctx context.Context, at place, parent roster.Instance, beat int64) (int64, error) {
-	wait := pullWait
-	if beat == 0 {
-		wait = 0
-	}
-	reply, err := r.pull(ctx, parent, r.wanted(at), beat, wait, wait+pullSlack)
+	reply, err := r.pull(ctx, parent, r.wanted(at), beat, pullWait, pullWait+pullSlack)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -29,6 +29,8 @@
 	pullWait = 1200 * time.Millisecond
 	// pullSlack is added to the wait before a parent counts as unreachable.
 	pullSlack = 300 * time.Millisecond
+	// minPullInterval bounds the pulls of a child whose parent answers at once.
+	minPullInterval = 50 * time.Millisecond
 	// vouchTimeout bounds a pull between readers.
 	vouchTimeout = 400 * time.Millisecond
 	// listInterval is the time between two reads of the instance list.
--- /dev/null
+++ b/internal/standin/network.go
@@ -0,0 +1,232 @@
+package standin
+
+import (
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mimosaward/mimosaward/internal/process"
+)
+
+// errRefused is what a dial gets if nobody listens or the path is cut.
+var errRefused = errors.New("connection refused")
+
+// ControlPort ends the control addresses in tests.
+const ControlPort = ":81"
+
+// pathLatency is the one-way latency between any two processes.
+const pathLatency = time.Millisecond
+
+// Network joins processes within one test. Paths between processes can be cut,
+// which breaks connections, or frozen, which carries nothing without breaking
+// them. It is safe for concurrent use.
+type Network struct {
+	mu          sync.Mutex
+	listeners   map[string]*listener
+	connections map[*connection]struct{}
+	cut         map[path]bool
+	cutControl  map[path]bool
+	frozen      map[path]bool
+	changed     chan struct{}
+}
+
+// path is a pair of processes, in the order of their names.
+type path struct {
+	a string
+	b string
+}
+
+func pathOf(a, b string) path {
+	if a > b {
+		a, b = b, a
+	}
+	return path{a: a, b: b}
+}
+
+// NewNetwork returns a network without processes.
+func NewNetwork() *Network {
+	return &Network{
+		listeners: map[string]*listener{}, connections: map[*connection]struct{}{},
+		cut: map[path]bool{}, cutControl: map[path]bool{}, frozen: map[path]bool{}, changed: make(chan struct{}),
+	}
+}
+
+// For returns the network as the named process sees it.
+func (n *Network) For(name string) process.Network {
+	return process.Network{
+		Listen: func(address string) (net.Listener, error) { return n.listen(name, address) },
+		Dial:   func(address string) (net.Conn, error) { return n.dial(name, address) },
+	}
+}
+
+// Cut breaks the connections between a process and others, and refuses new
+// ones.
+func (n *Network) Cut(name string, others ...string) { n.set(n.cut, true, name, others) }
+
+// CutControl cuts only the connections to the control addresses between two
+// processes, in both directions.
+func (n *Network) CutControl(name, other string) {
+	n.mu.Lock()
+	n.cutControl[pathOf(name, other)] = true
+	var broken []*connection
+	for held := range n.connections {
+		if held.control && n.cutControl[held.path] {
+			broken = append(broken, held)
+		}
+	}
+	n.mu.Unlock()
+	for _, held := range broken {
+		_ = held.Close()
+	}
+}
+
+// Heal ends a cut.
+func (n *Network) Heal(name string, others ...string) { n.set(n.cut, false, name, others) }
+
+// Freeze carries nothing between a process and others.
+func (n *Network) Freeze(name string, others ...string) { n.set(n.frozen, true, name, others) }
+
+// Thaw ends a freeze.
+func (n *Network) Thaw(name string, others ...string) { n.set(n.frozen, false, name, others) }
+
+func (n *Network) set(paths map[path]bool, value bool, name string, others []string) {
+	n.mu.Lock()
+	for _, other := range others {
+		paths[pathOf(name, other)] = value
+	}
+	var broken []*connection
+	for held := range n.connections {
+		if n.cut[held.path] {
+			broken = append(broken, held)
+		}
+	}
+	close(n.changed)
+	n.changed = make(chan struct{})
+	n.mu.Unlock()
+	for _, held := range broken {
+		_ = held.Close()
+	}
+}
+
+func (n *Network) listen(name, address string) (net.Listener, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.listeners[address] != nil {
+		return nil, errors.Newf("address %s is in use", address)
+	}
+	opened := &listener{network: n, owner: name, address: address, incoming: make(chan net.Conn), closed: make(chan struct{})}
+	n.listeners[address] = opened
+	return opened, nil
+}
+
+func (n *Network) dial(name, address string) (net.Conn, error) {
+	time.Sleep(pathLatency)
+	n.mu.Lock()
+	target := n.listeners[address]
+	control := strings.HasSuffix(address, ControlPort)
+	refused := target == nil || n.cut[pathOf(name, target.owner)] || (control && n.cutControl[pathOf(name, target.owner)])
+	n.mu.Unlock()
+	if refused {
+		return nil, errRefused
+	}
+	near, far := net.Pipe()
+	client := &connection{Conn: near, network: n, path: pathOf(name, target.owner), control: control}
+	server := &connection{Conn: far, network: n, path: client.path, control: control}
+	n.mu.Lock()
+	n.connections[client] = struct{}{}
+	n.connections[server] = struct{}{}
+	n.mu.Unlock()
+	select {
+	case target.incoming <- server:
+		return client, nil
+	case <-target.closed:
+		_ = client.Close()
+		return nil, errRefused
+	}
+}
+
+// wait returns when the path is not frozen.
+func (n *Network) wait(on path) {
+	for {
+		n.mu.Lock()
+		frozen, changed := n.frozen[on], n.changed
+		n.mu.Unlock()
+		if !frozen {
+			return
+		}
+		<-changed
+	}
+}
+
+// listener accepts the connections to one address.
+type listener struct {
+	network  *Network
+	owner    string
+	address  string
+	incoming chan net.Conn
+	closed   chan struct{}
+	once     sync.Once
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case accepted := <-l.incoming:
+		return accepted, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.network.mu.Lock()
+		defer l.network.mu.Unlock()
+		delete(l.network.listeners, l.address)
+	})
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *listener) Addr() net.Addr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)} }
+
+// connection is one end of a connection.
+type connection struct {
+	net.Conn
+	network *Network
+	path    path
+	control bool
+}
+
+// Read implements net.Conn.
+func (c *connection) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	c.network.wait(c.path)
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *connection) Write(data []byte) (int, error) {
+	c.network.wait(c.path)
+	return c.Conn.Write(data)
+}
+
+// Close implements net.Conn.
+func (c *connection) Close() error {
+	c.network.mu.Lock()
+	delete(c.network.connections, c)
+	c.network.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// IsCut reports whether the path between two processes is cut.
+func (n *Network) IsCut(a, b string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut[pathOf(a, b)]
+}
--- /dev/null
+++ b/internal/system/system_test.go
@@ -0,0 +1,378 @@
+// Package system tests the promises of the whole system: entries, agents and
+// fakes of the platform run in one bubble of virtual time, joined by a network
+// whose paths the tests cut and freeze.
+package system
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttputil"
+
+	"github.com/mimosaward/mimosaward/internal/agent"
+	"github.com/mimosaward/mimosaward/internal/answer"
+	"github.com/mimosaward/mimosaward/internal/duty"
+	"github.com/mimosaward/mimosaward/internal/entry"
+	"github.com/mimosaward/mimosaward/internal/event"
+	"github.com/mimosaward/mimosaward/internal/filing"
+	"github.com/mimosaward/mimosaward/internal/platform"
+	"github.com/mimosaward/mimosaward/internal/process"
+	"github.com/mimosaward/mimosaward/internal/roster"
+	"github.com/mimosaward/mimosaward/internal/settings"
+	"github.com/mimosaward/mimosaward/internal/size"
+	"github.com/mimosaward/mimosaward/internal/standin"
+	"github.com/mimosaward/mimosaward/internal/upstream"
+	"github.com/mimosaward/mimosaward/internal/weights"
+	"github.com/mimosaward/mimosaward/pkg/outcome"
+	"github.com/mimosaward/mimosaward/pkg/ticket"
+)
+
+// TestMain serves one request outside of any bubble, since the HTTP library
+// starts its clock once for the whole process.
+func TestMain(m *testing.M) {
+	listener := fasthttputil.NewInmemoryListener()
+	server := &fasthttp.Server{Handler: func(*fasthttp.RequestCtx) {}}
+	group := duty.NewGroup(context.Background())
+	group.Go(func(context.Context) { _ = server.Serve(listener) })
+	client := &fasthttp.Client{Dial: func(string) (net.Conn, error) { return listener.Dial() }}
+	_, _, _ = client.Get(nil, "http://warm.up/")
+	client.CloseIdleConnections()
+	_ = server.Shutdown()
+	os.Exit(m.Run())
+}
+
+const (
+	zones       = 3
+	settle      = 8 * time.Second
+	cleanUp     = 2 * time.Minute
+	draftTokens = 20
+	coldLimit   = 2
+	warmLimit   = 8
+)
+
+// system is a whole installation in one bubble.
+type system struct {
+	t         *testing.T
+	network   *standin.Network
+	objects   *standin.ObjectStore
+	instances *standin.InstanceStore
+	origin    *standin.OriginStore
+	desk      *filing.Desk
+	fakes     *duty.Group
+	nodes     map[string]*running
+	engines   map[string]*standin.Engine
+	services  map[string]*standin.Service
+	contents  map[string]weights.Digest
+	names     []string
+	client    *upstream.Client
+	start     time.Time
+}
+
+// running is one process.
+type running struct {
+	instance roster.Instance
+	stop     context.CancelFunc
+	done     chan struct{}
+}
+
+// inBubble runs a test with a whole installation that serves version v1.
+func inBubble(t *testing.T, test func(s *system)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t)
+		s.file(ticket.Ticket{Pools: []ticket.Pool{{Name: "booking", Kind: ticket.ServicePool}}, Workspaces: []ticket.Workspace{{Name: "aso-care", Priority: 2, MaxShare: 100}}})
+		s.rollOut("v1")
+		time.Sleep(settle)
+		test(s)
+		s.close()
+	})
+}
+
+func newSystem(t *testing.T) *system {
+	t.Helper()
+	s := &system{
+		t: t, network: standin.NewNetwork(), objects: standin.NewObjectStore(), instances: &standin.InstanceStore{Lag: 500 * time.Millisecond},
+		origin: &standin.OriginStore{}, fakes: duty.NewGroup(context.Background()), nodes: map[string]*running{},
+		engines: map[string]*standin.Engine{}, services: map[string]*standin.Service{}, contents: map[string]weights.Digest{}, start: time.Now(),
+	}
+	s.desk = &filing.Desk{Objects: &platform.ObjectAPI{BaseURL: "http://objects", HTTP: s.objects.HTTP}}
+	s.client = (&upstream.Client{Dial: s.network.For("caller").Dial, FirstByteTimeout: 20 * time.Second, IdleTimeout: 20 * time.Second}).Open()
+	s.serve("origin", "origin:80", standin.HTTPApp(s.origin.HTTP))
+	for zone := range zones {
+		s.startEntry(zone)
+		for index := range 2 {
+			s.startDraft(fmt.Sprintf("draft-%d-%d", zone, index), zone)
+		}
+		s.startBooking(fmt.Sprintf("booking-%d", zone), zone)
+	}
+	time.Sleep(settle)
+	return s
+}
+
+func zoneName(zone int) string { return fmt.Sprintf("zone-%d", zone) }
+
+// serve runs a fake endpoint.
+func (s *system) serve(owner, address string, app *fiber.App) {
+	listener, err := s.network.For(owner).Listen(address)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	server := &fasthttp.Server{Handler: app.Handler(), MaxRequestBodySize: 64 << 20, CloseOnShutdown: true}
+	s.fakes.Go(func(context.Context) { _ = server.Serve(listener) })
+	s.fakes.Go(func(ctx context.Context) {
+		<-ctx.Done()
+		_ = listener.Close()
+		shutdown, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = server.ShutdownWithContext(shutdown)
+	})
+}
+
+// reach returns the platform as a process reaches it: not at all if the path
+// is cut.
+func (s *system) reach(name string) process.Platform {
+	reach := func(http platform.HTTPFunc) platform.HTTPFunc {
+		return func(ctx context.Context, method, url string, body []byte) (int, []byte, error) {
+			if s.network.IsCut(name, "platform") {
+				return 0, nil, context.DeadlineExceeded
+			}
+			time.Sleep(2 * time.Millisecond)
+			return http(ctx, method, url, body)
+		}
+	}
+	return process.Platform{ObjectHTTP: reach(s.objects.HTTP), InstanceHTTP: reach(s.instances.HTTP)}
+}
+
+var platformSettings = settings.Platform{ObjectAPI: "http://objects", InstanceList: "http://instances"}
+
+func (s *system) startEntry(zone int) {
+	name := fmt.Sprintf("entry-%d", zone)
+	loaded := settings.DefaultEntry()
+	loaded.Instance = settings.Instance{Name: name, AvailabilityZone: zoneName(zone), Region: zoneName(zone)}
+	loaded.Platform = platformSettings
+	loaded.CallersAddress, loaded.ControlAddress, loaded.AdminAddress = name+":80", name+":81", name+":82"
+	loaded.AddressKeep, loaded.Routing.CallTimeout = 2*time.Second, 3*time.Second
+	process := &entry.Entry{Settings: loaded, Services: s.reach(name), Network: s.network.For(name), Log: event.Discard()}
+	s.run(roster.Instance{
+		Name: name, Role: roster.EntryRole, AvailabilityZone: zoneName(zone), Region: zoneName(zone), Status: roster.Live,
+		CallersAddress: loaded.CallersAddress, ControlAddress: loaded.ControlAddress,
+	}, process.Run)
+}
+
+func (s *system) startDraft(name string, zone int) {
+	engine := &standin.Engine{WarmLimit: warmLimit, ColdLimit: coldLimit, ColdFor: time.Second, FirstToken: 50 * time.Millisecond, TokenInterval: 10 * time.Millisecond}
+	s.engines[name] = engine
+	s.serve(name, name+":90", engine.App())
+	s.startAgent(name, "drafting", "model", zone)
+}
+
+func (s *system) startBooking(name string, zone int) {
+	service := &standin.Service{Latency: 20 * time.Millisecond}
+	s.services[name] = service
+	s.serve(name, name+":90", service.App())
+	s.startAgent(name, "booking", "service", zone)
+}
+
+func (s *system) startAgent(name, pool, kind string, zone int) {
+	loaded := settings.DefaultAgent()
+	loaded.Instance = settings.Instance{Name: name, AvailabilityZone: zoneName(zone), Region: zoneName(zone)}
+	loaded.Platform = platformSettings
+	loaded.WorkAddress, loaded.ControlAddress, loaded.AdminAddress = name+":80", name+":81", name+":82"
+	loaded.Endpoint = settings.Endpoint{URL: "http://" + name + ":90", Pool: pool, Kind: kind, WarmLimit: warmLimit, ColdLimit: coldLimit, ColdLatency: 150 * time.Millisecond}
+	loaded.Weights.OriginURL, loaded.Weights.HomeRegion, loaded.Weights.ChunkMemory = "http://origin:80", zoneName(0), 16*size.MiB
+	process := &agent.Agent{Settings: loaded, Services: s.reach(name), Network: s.network.For(name), Log: event.Discard()}
+	s.run(roster.Instance{
+		Name: name, Role: roster.AgentRole, AvailabilityZone: zoneName(zone), Region: zoneName(zone), Status: roster.Live,
+		Pool: pool, WorkAddress: loaded.WorkAddress, ControlAddress: loaded.ControlAddress,
+	}, process.Run)
+}
+
+func (s *system) run(instance roster.Instance, run func(ctx context.Context) error) {
+	ctx, stop := context.WithCancel(context.Background())
+	started := &running{instance: instance, stop: stop, done: make(chan struct{})}
+	s.nodes[instance.Name] = started
+	s.names = append(s.names, instance.Name)
+	s.instances.Set(instance)
+	s.fakes.Go(func(context.Context) {
+		defer close(started.done)
+		if err := run(ctx); err != nil {
+			s.t.Errorf("%s: %v", instance.Name, err)
+		}
+	})
+}
+
+// close stops everything and lets the cleaners of the libraries end.
+func (s *system) close() {
+	for _, node := range s.nodes {
+		node.stop()
+	}
+	for _, node := range s.nodes {
+		<-node.done
+	}
+	s.client.Close()
+	s.fakes.Stop()
+	s.fakes.Wait()
+	time.Sleep(cleanUp)
+}
+
+// file files a ticket.
+func (s *system) file(filed ticket.Ticket) int64 {
+	s.t.Helper()
+	filed.Operator = "test"
+	record, err := s.desk.File(context.Background(), filed, uuid.NewString())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return record.Ticket.Number
+}
+
+// rollOut publishes a version and files its ticket.
+func (s *system) rollOut(version string) string {
+	s.t.Helper()
+	published, err := s.origin.Publish("draft", version, 1<<10, 24<<10)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.contents[published.Manifest.String()] = published.Content
+	s.file(ticket.Ticket{Pools: []ticket.Pool{{
+		Name: "drafting", Kind: ticket.ModelPool, Model: "draft", Version: version, Manifest: published.Manifest.String(), Replicas: 6, MaxSwapping: 2,
+	}}})
+	return published.Manifest.String()
+}
+
+// zone files a ticket that takes a zone out or brings it back.
+func (s *system) zone(zone int, inService bool) {
+	s.t.Helper()
+	s.file(ticket.Ticket{Zones: []ticket.Zone{{Name: zoneName(zone), InService: inService}}})
+}
+
+// others returns every process but those of the zone, and the platform.
+func (s *system) others(zone int) []string {
+	names := []string{"platform"}
+	for _, name := range s.names {
+		if s.nodes[name].instance.AvailabilityZone != zoneName(zone) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// inZone returns the processes of a zone.
+func (s *system) inZone(zone int) []string {
+	var names []string
+	for _, name := range s.names {
+		if s.nodes[name].instance.AvailabilityZone == zoneName(zone) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// work counts the drafts that the engines of a zone got.
+func (s *system) work(zone int) int64 {
+	var total int64
+	for name, engine := range s.engines {
+		if s.nodes[name].instance.AvailabilityZone == zoneName(zone) {
+			total += engine.Counts().Drafts
+		}
+	}
+	return total
+}
+
+// reply is what a caller got.
+type reply struct {
+	status  int
+	outcome outcome.Outcome
+	// whole is true for a whole answer of the caller's own request, from one
+	// weight set.
+	whole bool
+	set   string
+	err   error
+}
+
+// draft asks an entry for a draft and checks the answer token by token.
+func (s *system) draft(entry int) reply {
+	id, prompt := uuid.NewString(), uuid.NewString()
+	body, _ := json.Marshal(map[string]any{
+		"model": "draft", "stream": true, "max_tokens": draftTokens, "messages": []map[string]string{{"role": "user", "content": prompt}},
+	})
+	response, err := s.client.Do(upstream.Request{
+		Method: "POST", URL: fmt.Sprintf("http://entry-%d:80/v1/chat/completions", entry), Body: body,
+		Headers: map[string]string{outcome.RequestIDHeader: id, outcome.WorkspaceHeader: "aso-care", "Content-Type": "application/json"},
+	})
+	if err != nil {
+		return reply{err: err}
+	}
+	defer response.Close()
+	got := reply{status: response.Status(), outcome: outcome.Outcome(response.Header(outcome.Header)), set: response.Header(outcome.SetHeader)}
+	if got.status != 200 {
+		return got
+	}
+	return s.readDraft(response, got, id, prompt)
+}
+
+func (s *system) readDraft(response *upstream.Response, got reply, id, prompt string) reply {
+	checker := &answer.Checker{RequestID: id, Set: got.set}
+	var text strings.Builder
+	for !checker.Ended() {
+		line, err := response.Line()
+		if strings.HasPrefix(string(line), "event: error") {
+			got.outcome = outcome.Unknown
+			return got
+		}
+		if got.err = checker.Line(line); got.err != nil {
+			return got
+		}
+		if data, isData := strings.CutPrefix(string(line), "data: {"); isData {
+			_, rest, _ := strings.Cut(data, `"content":"`)
+			token, _, _ := strings.Cut(rest, `"`)
+			text.WriteString(token)
+		}
+		if err != nil {
+			got.err = err
+			return got
+		}
+	}
+	var want strings.Builder
+	for index := range draftTokens {
+		want.WriteString(standin.Token(s.contents[got.set], prompt, index) + " ")
+	}
+	got.whole = text.String() == want.String()
+	if !got.whole {
+		s.t.Errorf("draft from set %s is partial or mixed: %q", got.set, text.String())
+	}
+	return got
+}
+
+// book makes one call with an idempotency key.
+func (s *system) book(entry int, key string) reply {
+	response, err := s.client.Do(upstream.Request{
+		Method: "POST", URL: fmt.Sprintf("http://entry-%d:80/services/booking/book", entry), Body: []byte(`{"rail":1}`),
+		Headers: map[string]string{outcome.KeyHeader: key, outcome.WorkspaceHeader: "aso-care", "Content-Type": "application/json"},
+	})
+	if err != nil {
+		return reply{err: err, outcome: outcome.Unknown}
+	}
+	defer response.Close()
+	_, err = response.Body()
+	return reply{status: response.Status(), outcome: outcome.Outcome(response.Header(outcome.Header)), err: err}
+}
+
+// runs returns how often the services ran a key.
+func (s *system) runs(key string) int {
+	total := 0
+	for _, service := range s.services {
+		total += service.Counts().Runs[key]
+	}
+	return total
+}
