Bound the store writes of idempotency claims and test the decisions

Cause: claims of one range shared a write only while an earlier write was in flight, so 6,400 claims in a second made more calls than the object API allows (refused calls, verdict "unavailable"). Ruled out: conflicts between writers and lost answers.

Change: each range writes at most 4 times a second and takes along what waits; 64 ranges together stay below 256 writes a second at any load.

After: 1,000 claims a second for 10 s are all stored within the API's rates.

--- /dev/null
+++ b/internal/admission/gate_test.go
@@ -0,0 +1,139 @@
+package admission_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mimosaward/mimosaward/internal/admission"
+)
+
+const coldLatency = 100 * time.Millisecond
+
+func newGate() *admission.Gate {
+	return &admission.Gate{WarmLimit: 20, ColdLimit: 2, ColdLatency: coldLatency}
+}
+
+// warm brings a gate out of its cold start.
+func warm(t *testing.T, gate *admission.Gate) {
+	t.Helper()
+	slot, refusal := gate.Admit(admission.Request{Priority: 2, MaxShare: 100})
+	if refusal != nil {
+		t.Fatal(refusal.Reason)
+	}
+	slot.FirstByte()
+	slot.Release()
+}
+
+// fill admits requests of a workspace, each answered at once, until one is
+// refused.
+func fill(gate *admission.Gate, request admission.Request) int {
+	for admitted := 0; ; admitted++ {
+		slot, refusal := gate.Admit(request)
+		if refusal != nil {
+			return admitted
+		}
+		slot.FirstByte()
+	}
+}
+
+func ExampleGate() {
+	gate := &admission.Gate{WarmLimit: 4, ColdLimit: 1, ColdLatency: time.Second}
+	slot, _ := gate.Admit(admission.Request{Workspace: "aso-care", Priority: 2, MaxShare: 100})
+	_, refusal := gate.Admit(admission.Request{Workspace: "aso-care", Priority: 2, MaxShare: 100})
+	fmt.Println(refusal.Reason)
+	slot.FirstByte()
+	_, refusal = gate.Admit(admission.Request{Workspace: "aso-care", Priority: 2, MaxShare: 100})
+	fmt.Println(refusal == nil)
+	// Output:
+	// the endpoint has not begun to answer earlier requests
+	// true
+}
+
+func TestLowPriorityIsShedFirst(t *testing.T) {
+	for priority, want := range []int{16, 18, 20} {
+		gate := newGate()
+		warm(t, gate)
+		if got := fill(gate, admission.Request{Priority: priority, MaxShare: 100}); got != want {
+			t.Errorf("priority %d: %d requests admitted, want %d", priority, got, want)
+		}
+	}
+}
+
+func TestWorkspaceIsBoundedUnderContention(t *testing.T) {
+	gate := newGate()
+	warm(t, gate)
+	large := admission.Request{Workspace: "large", Priority: 2, MaxShare: 50}
+	if got := fill(gate, large); got != 15 {
+		t.Errorf("workspace alone: %d requests admitted, want 15, up to the contended part", got)
+	}
+	if got := fill(gate, admission.Request{Workspace: "small", Priority: 2, MaxShare: 50}); got != 5 {
+		t.Errorf("other workspace: %d requests admitted, want the remaining 5", got)
+	}
+}
+
+func TestSilentEndpointTurnsCold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := newGate()
+		warm(t, gate)
+		if _, refusal := gate.Admit(admission.Request{Priority: 2, MaxShare: 100}); refusal != nil {
+			t.Fatal(refusal.Reason)
+		}
+		time.Sleep(2 * coldLatency)
+		if load := gate.Load(); !load.Cold {
+			t.Errorf("endpoint without a first byte for %s is not cold: %+v", 2*coldLatency, load)
+		}
+	})
+}
+
+// Random admissions, answers, delays and cold reports: the gate's own
+// assertions hold.
+func TestRandomizedGate(t *testing.T) {
+	for seed := range uint64(50) {
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 0))
+			gate := newGate()
+			var slots []*admission.Slot
+			for range 2000 {
+				switch random.IntN(6) {
+				case 0, 1, 2:
+					slot, refusal := gate.Admit(admission.Request{Workspace: fmt.Sprint(random.IntN(3)), Priority: random.IntN(3), MaxShare: 20 + random.IntN(80)})
+					if refusal == nil {
+						slots = append(slots, slot)
+					}
+				case 3:
+					if len(slots) > 0 {
+						slots[random.IntN(len(slots))].FirstByte()
+					}
+				case 4:
+					if len(slots) > 0 {
+						index := random.IntN(len(slots))
+						slots[index].Release()
+						slots = append(slots[:index], slots[index+1:]...)
+					}
+				default:
+					if random.IntN(10) == 0 {
+						gate.ReportCold()
+					}
+				}
+				time.Sleep(time.Duration(random.Int64N(int64(coldLatency / 4))))
+			}
+		})
+	}
+}
+
+// Admission is on the path of every request.
+func TestAdmitAllocations(t *testing.T) {
+	gate := newGate()
+	warm(t, gate)
+	allocations := testing.AllocsPerRun(1000, func() {
+		slot, _ := gate.Admit(admission.Request{Workspace: "aso-care", Priority: 2, MaxShare: 100})
+		slot.FirstByte()
+		slot.Release()
+	})
+	if allocations > 1 {
+		t.Errorf("one admission allocates %g times, want at most the slot itself", allocations)
+	}
+}
--- /dev/null
+++ b/internal/filing/desk_test.go
@@ -0,0 +1,140 @@
+package filing_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/mimosaward/mimosaward/internal/duty"
+	"github.com/mimosaward/mimosaward/internal/filing"
+	"github.com/mimosaward/mimosaward/internal/platform"
+	"github.com/mimosaward/mimosaward/internal/standin"
+	"github.com/mimosaward/mimosaward/internal/state"
+	"github.com/mimosaward/mimosaward/pkg/ticket"
+)
+
+func newDesk(objects *standin.ObjectStore) *filing.Desk {
+	return &filing.Desk{Objects: &platform.ObjectAPI{BaseURL: "http://objects", HTTP: objects.HTTP}}
+}
+
+func zoneTicket(operator, zone string, number int64) ticket.Ticket {
+	return ticket.Ticket{Number: number, Operator: operator, Zones: []ticket.Zone{{Name: zone, InService: false}}}
+}
+
+func TestNumbersHaveOneWinner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		objects := standin.NewObjectStore()
+		results := make([]error, 5)
+		group := duty.NewGroup(t.Context())
+		for index := range results {
+			group.Go(func(ctx context.Context) {
+				_, results[index] = newDesk(objects).File(ctx, zoneTicket(fmt.Sprint("operator-", index), "a", 1), fmt.Sprint("op-", index))
+			})
+		}
+		group.Wait()
+		winners := 0
+		for _, err := range results {
+			var taken *filing.TakenError
+			switch {
+			case err == nil:
+				winners++
+			case !errors.As(err, &taken):
+				t.Errorf("loser got %v, want a TakenError", err)
+			}
+		}
+		if winners != 1 {
+			t.Errorf("%d operators won number 1, want 1", winners)
+		}
+	})
+}
+
+func TestRaceOnOneScopeHasOneWinner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		objects := standin.NewObjectStore()
+		results := make([]error, 2)
+		group := duty.NewGroup(t.Context())
+		for index := range results {
+			group.Go(func(ctx context.Context) {
+				_, results[index] = newDesk(objects).File(ctx, zoneTicket(fmt.Sprint("operator-", index), "a", 0), fmt.Sprint("op-", index))
+			})
+		}
+		group.Wait()
+		var race *filing.RaceError
+		first, second := errors.As(results[0], &race), errors.As(results[1], &race)
+		// If one operator read the store after the other had filed, there was
+		// no race and both tickets stand.
+		if first && second {
+			t.Errorf("both operators lost: %v, %v", results[0], results[1])
+		}
+	})
+}
+
+func TestGapIsRefused(t *testing.T) {
+	_, err := newDesk(standin.NewObjectStore()).File(t.Context(), zoneTicket("aya", "a", 7), "op")
+	want := &filing.GapError{Number: 7, NextFree: 1}
+	var got *filing.GapError
+	if !errors.As(err, &got) || !cmp.Equal(want, got) {
+		t.Errorf("got %v, want %v", err, want)
+	}
+}
+
+// The store's answer is lost after the write: the operator's ticket is filed
+// once and recognized as its own.
+func TestLostAnswerIsRecognized(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		objects := standin.NewObjectStore()
+		objects.SetFaults(standin.ObjectFaults{LoseAnswers: 1})
+		desk := newDesk(objects)
+		record, err := desk.File(t.Context(), zoneTicket("aya", "a", 0), "op-1")
+		if err != nil || record.Ticket.Number != 1 {
+			t.Fatalf("got ticket %d and %v, want ticket 1", record.Ticket.Number, err)
+		}
+		loaded, err := desk.Load(t.Context())
+		if err != nil || loaded.UpTo != 1 {
+			t.Errorf("store holds %d tickets and %v, want 1", loaded.UpTo, err)
+		}
+	})
+}
+
+func TestOutageIsReportedAsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		objects := standin.NewObjectStore()
+		objects.SetFaults(standin.ObjectFaults{Down: true})
+		_, err := newDesk(objects).File(t.Context(), zoneTicket("aya", "a", 0), "op-1")
+		var unknown *filing.UnknownError
+		if !errors.As(err, &unknown) || unknown.OperationID != "op-1" {
+			t.Errorf("got %v, want an UnknownError for op-1", err)
+		}
+	})
+}
+
+// A checkpoint and the tickets after it give the same configuration as all
+// tickets.
+func TestCheckpointKeepsTheConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		desk := newDesk(standin.NewObjectStore())
+		snapshot := &state.Snapshot{}
+		for index := range 150 {
+			record, err := desk.File(t.Context(), zoneTicket("aya", fmt.Sprint("zone-", index%7), 0), fmt.Sprint("op-", index))
+			if err != nil {
+				t.Fatal(err)
+			}
+			snapshot = snapshot.With(state.FromTicket(&record.Ticket), record.Ticket.Number)
+			if err := desk.WriteCheckpoint(t.Context(), snapshot); err != nil {
+				t.Fatal(err)
+			}
+		}
+		loaded, err := desk.Load(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := (&state.Snapshot{}).With(loaded.Entries, loaded.UpTo)
+		if diff := cmp.Diff(snapshot.Entries(0), got.Entries(0)); diff != "" {
+			t.Errorf("configuration (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/internal/idempotency/writer.go
+++ b/internal/idempotency/writer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
 
 	"github.com/mimosaward/mimosaward/internal/duty"
 	"github.com/mimosaward/mimosaward/internal/platform"
@@ -20,6 +21,10 @@
 	// updateInterval is the longest time that an update waits for a claim to
 	// be written with.
 	updateInterval = 500 * time.Millisecond
+	// writesPerSecond bounds the writes of one range, so that all ranges
+	// together stay within a part of the object API's rate. Claims that arrive
+	// meanwhile share the next write.
+	writesPerSecond = 4
 	// maxPending bounds the claims that wait for one range.
 	maxPending = 256
 )
@@ -37,6 +42,7 @@
 // writeQueue is the work on one range.
 type writeQueue struct {
 	writing duty.Turn
+	limiter *rate.Limiter
 
 	mu      sync.Mutex
 	claims  []*pendingClaim
@@ -68,7 +74,7 @@
 	}
 	held := w.ranges[index]
 	if held == nil {
-		held = &writeQueue{}
+		held = &writeQueue{limiter: rate.NewLimiter(writesPerSecond, writesPerSecond)}
 		w.ranges[index] = held
 	}
 	return held
@@ -86,7 +92,7 @@
 		return Decision{Verdict: Unavailable}
 	}
 	defer queue.writing.Give()
-	if !pending.done {
+	if !pending.done && queue.limiter.Wait(ctx) == nil {
 		w.write(ctx, RangeOf(claim.Key), queue)
 	}
 	return pending.decision
@@ -118,14 +124,21 @@
 		waiting := len(queue.updates)
 		queue.mu.Unlock()
 		if waiting > 0 && ctx.Err() == nil {
-			if queue.writing.Take(ctx) == nil {
-				w.write(ctx, index, queue)
-				queue.writing.Give()
-			}
+			w.flushRange(ctx, index, queue)
 		}
 	}
 }
 
+func (w *Writer) flushRange(ctx context.Context, index int, queue *writeQueue) {
+	if queue.writing.Take(ctx) != nil {
+		return
+	}
+	defer queue.writing.Give()
+	if queue.limiter.Wait(ctx) == nil {
+		w.write(ctx, index, queue)
+	}
+}
+
 // take returns everything that waits for the range.
 func (q *writeQueue) take() ([]*pendingClaim, []Update) {
 	q.mu.Lock()
--- /dev/null
+++ b/internal/idempotency/writer_test.go
@@ -0,0 +1,109 @@
+package idempotency_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/mimosaward/mimosaward/internal/duty"
+	"github.com/mimosaward/mimosaward/internal/idempotency"
+	"github.com/mimosaward/mimosaward/internal/platform"
+	"github.com/mimosaward/mimosaward/internal/standin"
+)
+
+func newWriter(objects *standin.ObjectStore) *idempotency.Writer {
+	slow := func(ctx context.Context, method, url string, body []byte) (int, []byte, error) {
+		time.Sleep(5 * time.Millisecond)
+		return objects.HTTP(ctx, method, url, body)
+	}
+	return &idempotency.Writer{Objects: &platform.ObjectAPI{BaseURL: "http://objects", HTTP: slow}}
+}
+
+func claim(key, attempt string) idempotency.Claim {
+	return idempotency.Claim{Key: key, Attempt: attempt, Body: "body"}
+}
+
+func TestVerdicts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		writer := newWriter(standin.NewObjectStore())
+		ctx := t.Context()
+		result := &idempotency.Result{Status: 201, Body: []byte("booked")}
+		got := []idempotency.Verdict{
+			writer.Claim(ctx, claim("k", "a")).Verdict,
+			writer.Claim(ctx, claim("k", "a")).Verdict,
+			writer.Claim(ctx, claim("k", "b")).Verdict,
+			writer.Claim(ctx, idempotency.Claim{Key: "k", Attempt: "c", Body: "other"}).Verdict,
+		}
+		writer.Update(idempotency.Update{Key: "k", Attempt: "a", Status: idempotency.Released})
+		got = append(got, writer.Claim(ctx, claim("k", "d")).Verdict)
+		writer.Update(idempotency.Update{Key: "k", Attempt: "d", Status: idempotency.Done, Result: result})
+		// A late update of an attempt that no longer holds the key changes nothing.
+		writer.Update(idempotency.Update{Key: "k", Attempt: "a", Status: idempotency.Released})
+		last := writer.Claim(ctx, claim("k", "e"))
+		got = append(got, last.Verdict)
+		want := []idempotency.Verdict{
+			idempotency.Run, idempotency.Run, idempotency.Unknown, idempotency.Mismatch, idempotency.Run, idempotency.Repeated,
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("verdicts (-want +got):\n%s", diff)
+		}
+		if diff := cmp.Diff(result, last.Result); diff != "" {
+			t.Errorf("result (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// Two writers that both believe to own a range, a store that loses answers:
+// each key runs once.
+func TestTwoWritersOfOneRange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		objects := standin.NewObjectStore()
+		objects.SetFaults(standin.ObjectFaults{LoseAnswers: 0.3})
+		writers := []*idempotency.Writer{newWriter(objects), newWriter(objects)}
+		for key := range 40 {
+			verdicts := make([]idempotency.Verdict, len(writers))
+			group := duty.NewGroup(t.Context())
+			for index, writer := range writers {
+				group.Go(func(ctx context.Context) {
+					verdicts[index] = writer.Claim(ctx, claim(fmt.Sprint("k", key), fmt.Sprint(index))).Verdict
+				})
+			}
+			group.Wait()
+			if verdicts[0] == idempotency.Run && verdicts[1] == idempotency.Run {
+				t.Fatalf("both attempts of key %d may run", key)
+			}
+		}
+	})
+}
+
+// Claims share store calls, so that the writes stay far below the object
+// API's rate at any load.
+func TestClaimsShareStoreCalls(t *testing.T) {
+	for _, perSecond := range []int{10, 100, 1000} {
+		synctest.Test(t, func(t *testing.T) {
+			const seconds = 10
+			objects := standin.NewObjectStore()
+			writer := newWriter(objects)
+			calls := seconds * perSecond
+			group := duty.NewGroup(t.Context())
+			for index := range calls {
+				group.Go(func(ctx context.Context) {
+					time.Sleep(time.Duration(index) * time.Second / time.Duration(perSecond))
+					if got := writer.Claim(ctx, claim(fmt.Sprint("k", index), "a")).Verdict; got != idempotency.Run {
+						t.Errorf("claim %d: %s", index, got)
+					}
+				})
+			}
+			group.Wait()
+			counts := objects.Counts()
+			t.Logf("%d claims a second: %.3f writes for each", perSecond, float64(counts.Writes)/float64(calls))
+			if writes := counts.Writes / seconds; writes > 400 || counts.Limited > 0 {
+				t.Errorf("%d claims a second: %d writes a second and %d calls refused, want at most 400 and 0", perSecond, writes, counts.Limited)
+			}
+		})
+	}
+}
--- a/internal/process/base.go
+++ b/internal/process/base.go
@@ -122,6 +122,13 @@
 	}
 }
 
+// silentLogger drops the HTTP server's own lines: a connection that breaks is
+// reported by the request that it carried.
+type silentLogger struct{}
+
+// Printf implements fasthttp.Logger.
+func (silentLogger) Printf(string, ...any) {}
+
 // ServeHTTP serves an app on an address until ctx ends, then closes it without
 // waiting: the caller drains before it ends ctx.
 func (b *Base) ServeHTTP(ctx context.Context, address string, app *fiber.App) error {
@@ -131,7 +138,7 @@
 	}
 	server := &fasthttp.Server{
 		Handler: app.Handler(), IdleTimeout: serverIdle, MaxRequestBodySize: maxBodyBytes,
-		ReadBufferSize: readBufferLen, NoDefaultServerHeader: true, CloseOnShutdown: true,
+		ReadBufferSize: readBufferLen, NoDefaultServerHeader: true, CloseOnShutdown: true, Logger: silentLogger{},
 	}
 	group := duty.NewGroup(ctx)
 	group.Go(func(ctx context.Context) {
--- /dev/null
+++ b/internal/swarm/layout_test.go
@@ -0,0 +1,95 @@
+package swarm_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/mimosaward/mimosaward/internal/roster"
+	"github.com/mimosaward/mimosaward/internal/swarm"
+)
+
+func members(count, regions int) []roster.Instance {
+	var list []roster.Instance
+	for index := range count {
+		list = append(list, roster.Instance{Name: fmt.Sprintf("node-%03d", index), Region: fmt.Sprintf("region-%d", index%regions)})
+	}
+	return list
+}
+
+// chunksPerRoute thins out the routes that are followed to the origin.
+const chunksPerRoute = 37
+
+// Following preferred sources from any instance ends at the origin, crosses
+// each thin link at most once for a chunk, and loads no instance with much more
+// than one copy.
+func TestPreferredSourcesReachTheOrigin(t *testing.T) {
+	for _, shape := range [][2]int{{1, 1}, {2, 1}, {9, 3}, {15, 1}, {17, 1}, {48, 3}, {110, 1}, {440, 4}} {
+		t.Run(fmt.Sprint(shape), func(t *testing.T) {
+			list := members(shape[0], shape[1])
+			layouts := map[string]*swarm.Layout{}
+			for _, self := range list {
+				layouts[self.Name] = swarm.NewLayout("set", self, list, "region-0", 8)
+			}
+			const chunks = 220
+			uploads := map[string]int{}
+			for chunk := range chunks {
+				fromOrigin, crossings := 0, map[[2]string]int{}
+				for _, self := range list {
+					source := layouts[self.Name].Sources(chunk)[0]
+					switch source.Kind {
+					case swarm.Origin:
+						fromOrigin++
+					case swarm.FarPeer:
+						crossings[[2]string{source.Peer.Region, self.Region}]++
+						uploads[source.Peer.Name]++
+					default:
+						uploads[source.Peer.Name]++
+					}
+					if chunk%chunksPerRoute == 0 {
+						requireRoute(t, layouts, self.Name, chunk)
+					}
+				}
+				if fromOrigin != 1 {
+					t.Fatalf("chunk %d leaves the origin %d times, want once", chunk, fromOrigin)
+				}
+				for link, count := range crossings {
+					if count != 1 {
+						t.Fatalf("chunk %d crosses %v %d times, want once", chunk, link, count)
+					}
+				}
+			}
+			for name, count := range uploads {
+				if copies := float64(count) / chunks; copies > 1.2 {
+					t.Errorf("%s uploads %.2f copies, want about 1", name, copies)
+				}
+			}
+		})
+	}
+}
+
+// requireRoute follows preferred sources to the origin.
+func requireRoute(t *testing.T, layouts map[string]*swarm.Layout, name string, chunk int) {
+	t.Helper()
+	for range len(layouts) + 1 {
+		source := layouts[name].Sources(chunk)[0]
+		if source.Kind == swarm.Origin {
+			return
+		}
+		name = source.Peer.Name
+	}
+	t.Fatalf("chunk %d never reaches the origin from %s", chunk, name)
+}
+
+// Lists of different processes may differ by one instance: most instances keep
+// their preferred source.
+func TestOneInstanceMoreMovesFewSources(t *testing.T) {
+	list := members(440, 4)
+	self := list[5]
+	before := swarm.NewLayout("set", self, list, "region-0", 8)
+	again := swarm.NewLayout("set", self, append([]roster.Instance{}, list...), "region-0", 8)
+	for chunk := range 100 {
+		if before.Sources(chunk)[0].Name() != again.Sources(chunk)[0].Name() {
+			t.Fatal("the same list gives different sources")
+		}
+	}
+}
--- /dev/null
+++ b/internal/system/outcome_test.go
@@ -0,0 +1,208 @@
+package system
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/mimosaward/mimosaward/internal/duty"
+	"github.com/mimosaward/mimosaward/internal/standin"
+	"github.com/mimosaward/mimosaward/internal/upstream"
+	"github.com/mimosaward/mimosaward/pkg/outcome"
+)
+
+// Whatever the engines do to answers, the caller gets a whole answer of its
+// own or an explicit error.
+func TestBrokenAnswersAreNeverPassedOn(t *testing.T) {
+	faults := map[string]standin.EngineFaults{
+		"crossed":      {Cross: 2},
+		"cut":          {Cut: 2},
+		"another set":  {SwapUnnoticed: 2},
+		"all together": {Cross: 1, Cut: 1, SwapUnnoticed: 1},
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(s *system) {
+				for _, engine := range s.engines {
+					engine.SetFaults(fault)
+				}
+				whole := 0
+				for range 20 {
+					got := s.draft(0)
+					if got.err != nil {
+						t.Errorf("answer without an explicit end: %+v", got)
+					}
+					if got.whole {
+						whole++
+					}
+				}
+				if whole < 10 {
+					t.Errorf("only %d of 20 drafts were whole", whole)
+				}
+			})
+		})
+	}
+}
+
+// A stream whose endpoint dies goes on at another endpoint with the same set.
+func TestStreamIsResumedWhenItsEndpointDies(t *testing.T) {
+	inBubble(t, func(s *system) {
+		got := make(chan reply, 1)
+		group := duty.NewGroup(context.Background())
+		group.Go(func(context.Context) { got <- s.draft(0) })
+		time.Sleep(120 * time.Millisecond)
+		for name, engine := range s.engines {
+			if engine.Status().InFlight > 0 {
+				s.network.Cut(name, "entry-0")
+			}
+		}
+		if answer := <-got; !answer.whole {
+			t.Errorf("draft whose endpoint died: %+v", answer)
+		}
+		group.Wait()
+	})
+}
+
+// The caller's leaving reaches the engine.
+func TestCancellationReachesTheEngine(t *testing.T) {
+	inBubble(t, func(s *system) {
+		response, err := s.client.Do(upstream.Request{
+			Method: "POST", URL: "http://entry-0:80/v1/chat/completions",
+			Body:    []byte(`{"model":"draft","max_tokens":400,"messages":[{"role":"user","content":"x"}]}`),
+			Headers: map[string]string{outcome.RequestIDHeader: uuid.NewString()},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := response.Line(); err != nil {
+			t.Fatal(err)
+		}
+		response.Close()
+		time.Sleep(2 * time.Second)
+		canceled, inFlight := int64(0), 0
+		for _, engine := range s.engines {
+			canceled += engine.Counts().Canceled
+			inFlight += engine.Status().InFlight
+		}
+		if canceled != 1 || inFlight != 0 {
+			t.Errorf("engines saw %d cancellations and have %d requests in flight, want 1 and 0", canceled, inFlight)
+		}
+	})
+}
+
+// bookUntilDone repeats a booking at one entry after the other.
+func (s *system) bookUntilDone(key string, tries int) (answers []reply) {
+	for try := range tries {
+		got := s.book(try%zones, key)
+		answers = append(answers, got)
+		if got.outcome == outcome.Done {
+			break
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	return answers
+}
+
+// judgeBooking checks the answers that a caller got for one key against what
+// the services ran.
+func (s *system) judgeBooking(key string, answers []reply) {
+	s.t.Helper()
+	runs := s.runs(key)
+	if runs > 1 {
+		s.t.Errorf("booking %s ran %d times: %+v", key, runs, answers)
+	}
+	allNotRun := true
+	for _, got := range answers {
+		allNotRun = allNotRun && got.outcome == outcome.NotRun
+		if got.outcome == outcome.Done && runs == 0 {
+			s.t.Errorf("booking %s was answered but did not run", key)
+		}
+	}
+	if allNotRun && runs > 0 {
+		s.t.Errorf("booking %s ran although every answer said \"not run\"", key)
+	}
+}
+
+func TestBookingRunsOnce(t *testing.T) {
+	cases := map[string]func(s *system){
+		"without faults":           func(*system) {},
+		"store loses answers":      func(s *system) { s.objects.SetFaults(standin.ObjectFaults{LoseAnswers: 0.5}) },
+		"store is down":            func(s *system) { s.objects.SetFaults(standinDown) },
+		"store is slow":            func(s *system) { s.objects.SetFaults(standin.ObjectFaults{Slow: 1500 * time.Millisecond}) },
+		"services lose answers":    func(s *system) { s.serviceFaults(standin.ServiceFaults{LoseAnswers: 3}) },
+		"services cross answers":   func(s *system) { s.serviceFaults(standin.ServiceFaults{Cross: 3}) },
+		"owner cannot be reached":  func(s *system) { s.network.Cut("entry-0", "entry-1", "entry-2") },
+		"entry is cut from agents": func(s *system) { s.network.Cut("entry-0", "booking-0", "booking-1") },
+		"entry is frozen":          func(s *system) { s.freezeEntry(0) },
+		"store loses, services too": func(s *system) {
+			s.objects.SetFaults(standin.ObjectFaults{LoseAnswers: 0.3})
+			s.serviceFaults(standin.ServiceFaults{LoseAnswers: 2})
+		},
+	}
+	for name, fault := range cases {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(s *system) {
+				fault(s)
+				for index := range 12 {
+					key := fmt.Sprintf("key-%d", index)
+					answers := s.bookUntilDone(key, 4)
+					s.judgeBooking(key, answers)
+				}
+				s.objects.SetFaults(standin.ObjectFaults{})
+			})
+		})
+	}
+}
+
+func (s *system) serviceFaults(faults standin.ServiceFaults) {
+	for _, service := range s.services {
+		service.SetFaults(faults)
+	}
+}
+
+// freezeEntry freezes an entry's paths to the agents for a while.
+func (s *system) freezeEntry(entry int) {
+	name := fmt.Sprintf("entry-%d", entry)
+	s.network.Freeze(name, "booking-0", "booking-1", "booking-2")
+	s.fakes.Go(func(ctx context.Context) {
+		duty.Sleep(ctx, 5*time.Second)
+		s.network.Thaw(name, "booking-0", "booking-1", "booking-2")
+	})
+}
+
+// Two calls with one key at the same time, at two entries: one runs.
+func TestConcurrentBookingsWithOneKeyRunOnce(t *testing.T) {
+	inBubble(t, func(s *system) {
+		for index := range 10 {
+			key := fmt.Sprintf("race-%d", index)
+			answers := make([]reply, zones)
+			group := duty.NewGroup(context.Background())
+			for entry := range zones {
+				group.Go(func(context.Context) { answers[entry] = s.book(entry, key) })
+			}
+			group.Wait()
+			s.judgeBooking(key, answers)
+			if s.runs(key) != 1 {
+				t.Errorf("booking %s ran %d times, want 1: %+v", key, s.runs(key), answers)
+			}
+		}
+	})
+}
+
+// A repeated call gets the answer of the call that ran.
+func TestRepeatedBookingGetsTheFirstAnswer(t *testing.T) {
+	inBubble(t, func(s *system) {
+		for range 3 {
+			if got := s.book(0, "again"); got.outcome != outcome.Done || got.status != 201 {
+				t.Errorf("repeated booking: %+v", got)
+			}
+			time.Sleep(time.Second)
+		}
+		if runs := s.runs("again"); runs != 1 {
+			t.Errorf("booking ran %d times, want 1", runs)
+		}
+	})
+}
--- /dev/null
+++ b/internal/system/stop_test.go
@@ -0,0 +1,144 @@
+package system
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/mimosaward/mimosaward/internal/duty"
+	"github.com/mimosaward/mimosaward/internal/roster"
+	"github.com/mimosaward/mimosaward/pkg/outcome"
+)
+
+// callers keeps callers busy at the given entries and returns what they got.
+func (s *system) callers(count int, entries []int, length time.Duration) []reply {
+	var mu sync.Mutex
+	var got []reply
+	group := duty.NewGroup(context.Background())
+	end := time.Now().Add(length)
+	for index := range count {
+		group.Go(func(context.Context) {
+			for time.Now().Before(end) {
+				answer := s.draft(entries[index%len(entries)])
+				mu.Lock()
+				got = append(got, answer)
+				mu.Unlock()
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+	group.Wait()
+	return got
+}
+
+func requireWhole(t *testing.T, got []reply) {
+	t.Helper()
+	for _, answer := range got {
+		if !answer.whole {
+			t.Errorf("draft that was cut or refused: %+v", answer)
+		}
+	}
+	if len(got) == 0 {
+		t.Error("no draft was asked for")
+	}
+}
+
+// stopSoon asks a process to stop while callers are busy.
+func (s *system) stopSoon(name string) {
+	s.fakes.Go(func(ctx context.Context) {
+		duty.Sleep(ctx, time.Second)
+		leaving := s.nodes[name].instance
+		leaving.Status = roster.Leaving
+		s.instances.Set(leaving)
+		s.nodes[name].stop()
+	})
+}
+
+func TestPlannedStopOfAnAgentCutsNothing(t *testing.T) {
+	inBubble(t, func(s *system) {
+		s.stopSoon("draft-0-0")
+		requireWhole(t, s.callers(6, []int{0, 1, 2}, 5*time.Second))
+	})
+}
+
+func TestPlannedStopOfAnEntryCutsNothing(t *testing.T) {
+	inBubble(t, func(s *system) {
+		s.stopSoon("entry-0")
+		// Callers keep the old address for as long as they may.
+		requireWhole(t, s.callers(4, []int{0}, 3*time.Second))
+		<-s.nodes["entry-0"].done
+	})
+}
+
+func TestRollOutCutsNothingAndMixesNothing(t *testing.T) {
+	inBubble(t, func(s *system) {
+		var second string
+		s.fakes.Go(func(ctx context.Context) {
+			duty.Sleep(ctx, time.Second)
+			second = s.rollOut("v2")
+		})
+		requireWhole(t, s.callers(6, []int{0, 1, 2}, 15*time.Second))
+		for name, engine := range s.engines {
+			if status := engine.Status(); status.Set != second {
+				t.Errorf("engine %s serves %s, want %s", name, status.Set, second)
+			}
+		}
+	})
+}
+
+// A third version replaces the second while it is being fetched.
+func TestVersionChangesMidFlight(t *testing.T) {
+	inBubble(t, func(s *system) {
+		s.rollOut("v2")
+		time.Sleep(300 * time.Millisecond)
+		third := s.rollOut("v3")
+		requireWhole(t, s.callers(4, []int{0, 1, 2}, 15*time.Second))
+		for name, engine := range s.engines {
+			if status := engine.Status(); status.Set != third {
+				t.Errorf("engine %s serves %s, want %s", name, status.Set, third)
+			}
+		}
+	})
+}
+
+// Many entries at once: a cold endpoint never gets more than it bears, also
+// when it turned cold unannounced.
+func TestColdEndpointIsNeverOverloaded(t *testing.T) {
+	inBubble(t, func(s *system) {
+		s.fakes.Go(func(ctx context.Context) {
+			for index := range 6 {
+				duty.Sleep(ctx, time.Second)
+				for zone := range zones {
+					s.engines[fmt.Sprintf("draft-%d-%d", zone, index%2)].TurnCold()
+				}
+			}
+		})
+		got := s.callers(60, []int{0, 1, 2}, 8*time.Second)
+		for name, engine := range s.engines {
+			if counts := engine.Counts(); counts.Overloads > 0 {
+				t.Errorf("engine %s got up to %d requests more than it bears", name, counts.WorstOverload)
+			}
+		}
+		for _, answer := range got {
+			if !answer.whole && answer.outcome != outcome.NotRun {
+				t.Errorf("overload was not shed with \"not run\": %+v", answer)
+			}
+		}
+	})
+}
+
+// A new instance joins under load and is not handed more than it bears.
+func TestNewEndpointIsNotOverloaded(t *testing.T) {
+	inBubble(t, func(s *system) {
+		s.fakes.Go(func(ctx context.Context) {
+			duty.Sleep(ctx, time.Second)
+			s.startDraft("draft-0-9", 0)
+		})
+		s.callers(40, []int{0, 1, 2}, 8*time.Second)
+		if counts := s.engines["draft-0-9"].Counts(); counts.Overloads > 0 || counts.Drafts == 0 {
+			t.Errorf("new engine got %d requests, %d of them beyond what it bears", counts.Drafts, counts.Overloads)
+		}
+	})
+}
--- a/internal/system/system_test.go
+++ b/internal/system/system_test.go
@@ -51,6 +51,12 @@
 	os.Exit(m.Run())
 }
 
+// silentLogger drops the HTTP server's own lines.
+type silentLogger struct{}
+
+// Printf implements fasthttp.Logger.
+func (silentLogger) Printf(string, ...any) {}
+
 const (
 	zones       = 3
 	settle      = 8 * time.Second
@@ -127,7 +133,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	server := &fasthttp.Server{Handler: app.Handler(), MaxRequestBodySize: 64 << 20, CloseOnShutdown: true}
+	server := &fasthttp.Server{Handler: app.Handler(), MaxRequestBodySize: 64 << 20, CloseOnShutdown: true, Logger: silentLogger{}}
 	s.fakes.Go(func(context.Context) { _ = server.Serve(listener) })
 	s.fakes.Go(func(ctx context.Context) {
 		<-ctx.Done()
@@ -226,14 +232,12 @@
 }
 
 // file files a ticket.
-func (s *system) file(filed ticket.Ticket) int64 {
+func (s *system) file(filed ticket.Ticket) {
 	s.t.Helper()
 	filed.Operator = "test"
-	record, err := s.desk.File(context.Background(), filed, uuid.NewString())
-	if err != nil {
+	if _, err := s.desk.File(context.Background(), filed, uuid.NewString()); err != nil {
 		s.t.Fatal(err)
 	}
-	return record.Ticket.Number
 }
 
 // rollOut publishes a version and files its ticket.
--- /dev/null
+++ b/internal/weights/store_test.go
@@ -0,0 +1,117 @@
+package weights_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/mimosaward/mimosaward/internal/size"
+	"github.com/mimosaward/mimosaward/internal/weights"
+)
+
+// build returns a manifest over the text and its chunks.
+func build(t *testing.T, version, text string) (*weights.Manifest, map[weights.Digest][]byte) {
+	t.Helper()
+	chunks := map[weights.Digest][]byte{}
+	encoded, digest, err := weights.BuildManifest("draft", version, 4, []weights.Source{{Name: "base", Kind: weights.BasePart, Reader: strings.NewReader(text)}},
+		func(chunk weights.Digest, data []byte) error {
+			chunks[chunk] = data
+			return nil
+		})
+	if err != nil {
+		t.Fatal(err)
+	}
+	manifest, err := weights.DecodeManifest(encoded, digest)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return manifest, chunks
+}
+
+func TestIncompleteSetIsNeverVerified(t *testing.T) {
+	manifest, chunks := build(t, "v1", "aaaabbbbcc")
+	store := weights.NewStore(size.KiB)
+	if err := store.Pin(manifest); err != nil {
+		t.Fatal(err)
+	}
+	for _, digest := range manifest.Chunks() {
+		if _, err := store.Verified(manifest.Digest()); !errors.Is(err, weights.ErrIncomplete) {
+			t.Errorf("incomplete set: got %v, want ErrIncomplete", err)
+		}
+		if err := store.Put(digest, append([]byte("x"), chunks[digest]...)); !errors.Is(err, weights.ErrCorrupt) {
+			t.Errorf("corrupt chunk: got %v, want ErrCorrupt", err)
+		}
+		if err := store.Put(digest, chunks[digest]); err != nil {
+			t.Fatal(err)
+		}
+	}
+	verified, err := store.Verified(manifest.Digest())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var joined bytes.Buffer
+	if _, err := verified.WriteTo(&joined); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff("aaaabbbbcc", joined.String()); diff != "" {
+		t.Errorf("set (-want +got):\n%s", diff)
+	}
+}
+
+func TestDamagedManifestIsRefused(t *testing.T) {
+	if _, err := weights.DecodeManifest([]byte(`{}`), weights.Sum([]byte("other"))); !errors.Is(err, weights.ErrCorrupt) {
+		t.Errorf("got %v, want ErrCorrupt", err)
+	}
+}
+
+// Two versions share chunks: they are held once and outlive the first.
+func TestSharedChunksAreHeldOnce(t *testing.T) {
+	first, chunks := build(t, "v1", "aaaabbbb")
+	second, more := build(t, "v2", "aaaacccc")
+	store := weights.NewStore(12)
+	for _, manifest := range []*weights.Manifest{first, second} {
+		if err := store.Pin(manifest); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for digest, data := range chunks {
+		if err := store.Put(digest, data); err != nil {
+			t.Fatal(err)
+		}
+	}
+	store.Unpin(first.Digest())
+	if diff := cmp.Diff([]any{1, size.Bytes(4)}, []any{store.Missing(second), store.Used()}); diff != "" {
+		t.Errorf("missing chunks and bytes after the first set (-want +got):\n%s", diff)
+	}
+	for digest, data := range more {
+		if err := store.Put(digest, data); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if store.Used() != 8 {
+		t.Errorf("store holds %d bytes, want 8", store.Used())
+	}
+}
+
+func TestSetBeyondTheLimitIsRefused(t *testing.T) {
+	manifest, _ := build(t, "v1", "aaaabbbbcccc")
+	if err := weights.NewStore(8).Pin(manifest); !errors.Is(err, weights.ErrTooLarge) {
+		t.Errorf("got %v, want ErrTooLarge", err)
+	}
+}
+
+// The hot path of a chunk that arrives: no allocation beyond the chunk itself.
+func TestPutAllocatesNothing(t *testing.T) {
+	manifest, chunks := build(t, "v1", "aaaabbbb")
+	store := weights.NewStore(size.KiB)
+	if err := store.Pin(manifest); err != nil {
+		t.Fatal(err)
+	}
+	digest := manifest.Chunks()[0]
+	if allocations := testing.AllocsPerRun(100, func() { _ = store.Put(digest, chunks[digest]) }); allocations > 0 {
+		t.Errorf("Put allocates %g times, want 0", allocations)
+	}
+}
