Make the tests able to fail, and quiet the readers

The isolated zone heard its ticket through a watch that was in flight at the cut; crossed and swapped answers of the fake engine had the right text, so only the product's own checker saw them; nothing tested a store outage together with lost answers, the end marker, older tickets, or a planned stop of a service.

Change: the fakes give wrong text, the cut also drops answers in flight, and tests for the missing cases.

A watch that hangs is noticed after 1.2 s instead of 2 s, before the last confirmation is too old.

--- /dev/null
+++ b/internal/answer/checker_test.go
@@ -0,0 +1,63 @@
+package answer_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mimosaward/mimosaward/internal/answer"
+)
+
+// chunk returns one event of a stream.
+func chunk(id, set, text, finish string) string {
+	return fmt.Sprintf(`data: {"id":%q,"system_fingerprint":%q,"choices":[{"delta":{"content":%q},"finish_reason":%s}]}`, id, set, text, finish)
+}
+
+func TestChecker(t *testing.T) {
+	tests := []struct {
+		name  string
+		lines []string
+		want  error
+		ended bool
+	}{
+		{"whole", []string{chunk("r", "s", "a", "null"), "", chunk("r", "s", "", `"stop"`), "", "data: [DONE]"}, nil, true},
+		{"unfinished", []string{chunk("r", "s", "a", "null")}, nil, false},
+		{"end marker without a finish", []string{chunk("r", "s", "a", "null"), "data: [DONE]"}, answer.ErrCut, false},
+		{"another request", []string{chunk("x", "s", "a", "null")}, answer.ErrCrossed, false},
+		{"another set", []string{chunk("r", "x", "a", "null")}, answer.ErrWrongSet, false},
+		{"error event", []string{"event: error", "data: {}"}, answer.ErrCut, false},
+		{"not a chunk", []string{"data: hello"}, answer.ErrMalformed, false},
+		{"comment", []string{": ping"}, nil, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			checker := &answer.Checker{RequestID: "r", Set: "s"}
+			var got error
+			for _, line := range test.lines {
+				if got = checker.Line([]byte(line)); got != nil {
+					break
+				}
+			}
+			if !errors.Is(got, test.want) || checker.Ended() != test.ended {
+				t.Errorf("got %v and ended %t, want %v and %t", got, checker.Ended(), test.want, test.ended)
+			}
+		})
+	}
+}
+
+// Engines choose the bytes of a stream: no input may break the checker.
+func FuzzChecker(f *testing.F) {
+	f.Add(chunk("r", "s", "a", "null"))
+	f.Add("data: [DONE]")
+	f.Add(`data: {"choices":[]}`)
+	f.Fuzz(func(t *testing.T, text string) {
+		checker := &answer.Checker{RequestID: "r", Set: "s"}
+		for line := range strings.Lines(text) {
+			if checker.Line([]byte(line)) != nil {
+				return
+			}
+		}
+	})
+}
--- a/internal/bench/burst_test.go
+++ b/internal/bench/burst_test.go
@@ -368,11 +368,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		figure = newBurstBench(t, c).run(t)
 	})
-	text, err := json.Marshal(figure)
-	if err != nil {
-		t.Fatal(err)
-	}
-	fmt.Println(string(text))
+	printFigure(t, figure)
 	return figure
 }
 
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 
 	"github.com/mimosaward/mimosaward/internal/duty"
 )
@@ -19,8 +20,13 @@
 
 	mu          sync.Mutex
 	connections map[net.Conn]struct{}
+	received    atomic.Int64
+	sent        atomic.Int64
 }
 
+// Bytes returns the bytes received and sent.
+func (s *Server) Bytes() (received, sent int64) { return s.received.Load(), s.sent.Load() }
+
 // NewServer returns a server without services.
 func NewServer() *Server {
 	return &Server{rpc: rpc.NewServer(), connections: map[net.Conn]struct{}{}}
@@ -50,7 +56,8 @@
 		}
 		group.Go(func(context.Context) {
 			defer s.remove(connection)
-			s.rpc.ServeCodec(serverCodec{newCodec(connection, func(int) {})})
+			counted := &countedConn{Conn: connection, sent: &s.sent}
+			s.rpc.ServeCodec(serverCodec{newCodec(counted, func(n int) { s.received.Add(int64(n)) })})
 		})
 	}
 	group.Stop()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -31,6 +31,8 @@
 	Services process.Platform
 	Network  process.Network
 	Log      *event.Logger
+	// Pick replaces the choice among endpoints; nil means the router's own.
+	Pick func(request routing.Request, candidates []roster.Instance, load func(name string) float64) roster.Instance
 
 	base    *process.Base
 	drain   *process.Drain
@@ -105,7 +107,7 @@
 	e.base.Ready = func() bool { return !e.drain.Stopping() && base.Relay.Verdict() != freshness.Stale }
 	e.base.Status = func() any { return entryStatus{InFlight: e.drain.InFlight(), Stopping: e.drain.Stopping()} }
 	limits := e.Settings.Routing
-	e.router = &routing.Router{Self: self, SubsetSize: limits.SubsetSize}
+	e.router = &routing.Router{Self: self, SubsetSize: limits.SubsetSize, Pick: e.Pick}
 	e.budget = &retry.Budget{Percent: limits.RetryPercent}
 	e.streams = (&upstream.Client{Dial: e.Network.Dial, FirstByteTimeout: limits.FirstTokenTimeout, IdleTimeout: limits.TokenTimeout}).Open()
 	e.calls = (&upstream.Client{Dial: e.Network.Dial, FirstByteTimeout: limits.CallTimeout, IdleTimeout: limits.TokenTimeout}).Open()
--- a/internal/relay/reader.go
+++ b/internal/relay/reader.go
@@ -11,6 +11,7 @@
 	"github.com/mimosaward/mimosaward/internal/event"
 	"github.com/mimosaward/mimosaward/internal/filing"
 	"github.com/mimosaward/mimosaward/internal/freshness"
+	"github.com/mimosaward/mimosaward/internal/roster"
 )
 
 // peerProgress holds how far the other readers of the zone are.
@@ -78,7 +79,11 @@
 // readOnce loads the whole configuration if the cursor is unread, otherwise it
 // waits for changes after it.
 func (r *Relay) readOnce(ctx context.Context, at *cursor) error {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	timeout := storeTimeout
+	if at.revision != unread {
+		timeout = watchWait + watchSlack
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	start := time.Now()
 	loaded, err := r.load(ctx, at)
@@ -100,21 +105,17 @@
 	return r.Desk.Watch(ctx, at.upTo, at.revision, watchWait)
 }
 
-// vouch pulls from the other readers, then starts a beat. A reader vouches for
-// its own zone once it has held a fresh configuration since its start.
+// vouch pulls from other readers, then starts a beat. A reader vouches for its
+// own zone once it has held a fresh configuration since its start.
 func (r *Relay) vouch(ctx context.Context) {
 	at := placeOf(r.Roster.View(), r.Self)
 	if !at.reader {
 		return
 	}
+	r.vouches++
 	var round conc.WaitGroup
-	for _, peer := range at.parents {
-		round.Go(func() {
-			reply, err := r.pull(ctx, peer, nil, 0, 0, vouchTimeout)
-			if err == nil && peer.AvailabilityZone == r.Self.AvailabilityZone {
-				r.peers.set(peer.Name, reply.UpTo)
-			}
-		})
+	for _, peer := range r.vouchPeers(at.parents) {
+		round.Go(func() { r.pullReader(ctx, peer) })
 	}
 	round.Wait()
 	if r.Verdict() != freshness.Stale {
@@ -126,6 +127,37 @@
 	r.advance()
 }
 
+// vouchPeers returns the readers to pull from in this round: always those of
+// the own zone, whose progress an acknowledgement needs; one of each other zone
+// in every round while the object API does not confirm, and now and then
+// otherwise. The readers of a zone take turns.
+func (r *Relay) vouchPeers(readers []roster.Instance) []roster.Instance {
+	quiet := r.reading.Load() && r.vouches%quietVouchRounds != 0
+	byZone := map[string][]roster.Instance{}
+	var peers []roster.Instance
+	for _, reader := range readers {
+		if reader.AvailabilityZone == r.Self.AvailabilityZone {
+			peers = append(peers, reader)
+			continue
+		}
+		byZone[reader.AvailabilityZone] = append(byZone[reader.AvailabilityZone], reader)
+	}
+	if quiet {
+		return peers
+	}
+	for _, zone := range byZone {
+		peers = append(peers, zone[r.vouches%len(zone)])
+	}
+	return peers
+}
+
+func (r *Relay) pullReader(ctx context.Context, peer roster.Instance) {
+	reply, err := r.pull(ctx, peer, nil, noBeat, 0, vouchTimeout)
+	if err == nil && peer.AvailabilityZone == r.Self.AvailabilityZone {
+		r.peers.set(peer.Name, reply.UpTo)
+	}
+}
+
 // acknowledge records the newest ticket that every reader of the zone holds.
 func (r *Relay) acknowledge(ctx context.Context, at *cursor) {
 	upTo := r.State.Snapshot().UpTo()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -23,6 +23,12 @@
 	beatInterval = time.Second
 	// watchWait is how long one watch of the object API waits.
 	watchWait = 500 * time.Millisecond
+	// watchSlack is added to the wait before a watch counts as failed. A store
+	// that hangs must be noticed before the last confirmation is too old.
+	watchSlack = 700 * time.Millisecond
+	// quietVouchRounds is the number of beats between two rounds of vouching
+	// with other zones while the object API confirms.
+	quietVouchRounds = 5
 	// storeTimeout bounds one call of the object API.
 	storeTimeout = 2 * time.Second
 	// pullWait is how long a parent holds a pull.
@@ -60,6 +66,8 @@
 	synced   atomic.Bool
 	reading  atomic.Bool
 	peers    peerProgress
+	// vouches counts the rounds; only vouch uses it.
+	vouches int
 }
 
 // Register adds the relay's calls to a server.
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -35,6 +35,10 @@
 type Router struct {
 	Self       roster.Instance
 	SubsetSize int
+	// Pick chooses among the endpoints at one distance; load returns the part of
+	// an endpoint's limit in use. Nil means prefix affinity, then the less loaded
+	// of two random ones.
+	Pick func(request Request, candidates []roster.Instance, load func(name string) float64) roster.Instance
 
 	mu        sync.Mutex
 	endpoints map[string]*endpoint
@@ -167,6 +171,9 @@
 // pick prefers the endpoint that holds the prefix while it is not busy,
 // otherwise the less loaded of two random ones.
 func (r *Router) pick(request Request, candidates []roster.Instance, now time.Time) roster.Instance {
+	if r.Pick != nil {
+		return r.Pick(request, candidates, func(name string) float64 { return r.load(name, now) })
+	}
 	if request.PrefixKey != "" {
 		preferred := candidates[0]
 		for _, candidate := range candidates[1:] {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -47,11 +47,11 @@
 
 // EngineFaults are the faults that the engine shows now.
 type EngineFaults struct {
-	// Cross is the number of next answers that carry another request's id.
+	// Cross is the number of next answers that belong to the request before.
 	Cross int `json:"cross"`
 	// Cut is the number of next streams that end without an end marker.
 	Cut int `json:"cut"`
-	// SwapUnnoticed answers the next requests as if from other weights.
+	// SwapUnnoticed is the number of next answers made from other weights.
 	SwapUnnoticed int `json:"swapUnnoticed"`
 }
 
@@ -159,7 +159,7 @@
 	genuine := *started
 	if e.faults.Cross > 0 {
 		e.faults.Cross--
-		started.requestID = "crossed-" + e.lastDraft.requestID
+		started.requestID, started.prompt = e.lastDraft.requestID, e.lastDraft.prompt
 	}
 	if e.faults.Cut > 0 {
 		e.faults.Cut--
@@ -167,7 +167,8 @@
 	}
 	if e.faults.SwapUnnoticed > 0 {
 		e.faults.SwapUnnoticed--
-		started.set = "0000"
+		started.content = weights.Digest{}
+		started.set = started.content.String()
 	}
 	e.lastDraft = genuine
 }
--- /dev/null
+++ b/internal/state/store_test.go
@@ -0,0 +1,59 @@
+package state_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/mimosaward/mimosaward/internal/state"
+	"github.com/mimosaward/mimosaward/pkg/ticket"
+)
+
+func zoneEntries(number int64, zone string, inService bool) []state.Entry {
+	return state.FromTicket(&ticket.Ticket{Number: number, Zones: []ticket.Zone{{Name: zone, InService: inService}}})
+}
+
+func ExampleStore() {
+	store := state.NewStore()
+	store.Merge(zoneEntries(2, "kumamoto", false), 2)
+	// A stale peer sends an older ticket.
+	store.Merge(zoneEntries(1, "kumamoto", true), 1)
+	fmt.Println(store.Snapshot().UpTo(), store.Snapshot().ZoneInService("kumamoto"))
+	// Output: 2 false
+}
+
+// Whatever the order in which peers send parts, the configuration ends at the
+// newest ticket of each scope and never goes back on the way.
+func TestMergesInAnyOrder(t *testing.T) {
+	for seed := range uint64(30) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		newest := map[string]int64{}
+		var parts [][]state.Entry
+		for number := int64(1); number <= 60; number++ {
+			zone := fmt.Sprint("zone-", random.IntN(5))
+			newest[zone] = number
+			parts = append(parts, zoneEntries(number, zone, number%2 == 0))
+		}
+		random.Shuffle(len(parts), func(i, j int) { parts[i], parts[j] = parts[j], parts[i] })
+		store := state.NewStore()
+		last := map[ticket.Scope]int64{}
+		for _, part := range parts {
+			store.Merge(part, part[0].Number)
+			for _, entry := range store.Snapshot().Entries(0) {
+				if entry.Number < last[entry.Scope] {
+					t.Fatalf("seed %d: %s went back from %d to %d", seed, entry.Scope, last[entry.Scope], entry.Number)
+				}
+				last[entry.Scope] = entry.Number
+			}
+		}
+		got := map[string]int64{}
+		for _, entry := range store.Snapshot().Entries(0) {
+			got[entry.Zone.Name] = entry.Number
+		}
+		if diff := cmp.Diff(newest, got); diff != "" {
+			t.Errorf("seed %d: newest tickets (-want +got):\n%s", seed, diff)
+		}
+	}
+}
--- a/internal/system/outcome_test.go
+++ b/internal/system/outcome_test.go
@@ -137,10 +137,14 @@
 		"owner cannot be reached":  func(s *system) { s.network.Cut("entry-0", "entry-1", "entry-2") },
 		"entry is cut from agents": func(s *system) { s.network.Cut("entry-0", "booking-0", "booking-1") },
 		"entry is frozen":          func(s *system) { s.freezeEntry(0) },
-		"store loses, services too": func(s *system) {
+		"store and services lose answers": func(s *system) {
 			s.objects.SetFaults(standin.ObjectFaults{LoseAnswers: 0.3})
 			s.serviceFaults(standin.ServiceFaults{LoseAnswers: 2})
 		},
+		"store is down, services lose answers": func(s *system) {
+			s.objects.SetFaults(standinDown)
+			s.serviceFaults(standin.ServiceFaults{LoseAnswers: 10})
+		},
 	}
 	for name, fault := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/system/stop_test.go
+++ b/internal/system/stop_test.go
@@ -63,6 +63,29 @@
 	})
 }
 
+// A call that may not be repeated cannot be resumed elsewhere, so its agent must
+// wait for it.
+func TestPlannedStopOfAServiceCutsNoBooking(t *testing.T) {
+	inBubble(t, func(s *system) {
+		for _, service := range s.services {
+			service.Latency = 120 * time.Millisecond
+		}
+		s.stopSoon("booking-0")
+		group := duty.NewGroup(context.Background())
+		for caller := range 8 {
+			group.Go(func(context.Context) {
+				for index := range 6 {
+					key := fmt.Sprintf("stop-%d-%d", caller, index)
+					if got := s.book(0, key); got.outcome != outcome.Done {
+						t.Errorf("booking during a planned stop: %+v", got)
+					}
+				}
+			})
+		}
+		group.Wait()
+	})
+}
+
 func TestPlannedStopOfAnEntryCutsNothing(t *testing.T) {
 	inBubble(t, func(s *system) {
 		s.stopSoon("entry-0")
--- a/internal/system/system_test.go
+++ b/internal/system/system_test.go
@@ -156,7 +156,11 @@
 				return 0, nil, context.DeadlineExceeded
 			}
 			time.Sleep(2 * time.Millisecond)
-			return http(ctx, method, url, body)
+			status, answer, err := http(ctx, method, url, body)
+			if s.network.IsCut(name, "platform") {
+				return 0, nil, context.DeadlineExceeded
+			}
+			return status, answer, err
 		}
 	}
 	return process.Platform{ObjectHTTP: reach(s.objects.HTTP), InstanceHTTP: reach(s.instances.HTTP)}
