Shorten the retry hints of a busy endpoint

A refusal because an earlier request had no first byte yet left the endpoint out for 250 ms, although the reason lasts some 10 ms. Ruled out: the limits themselves and the distance order.

Change: hints of 10 ms (waiting for a first byte), 30 ms (at the limit) and 250 ms (cold).

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -24,8 +24,11 @@
 	// reservedPercent is the part of the limit that each step of priority
 	// reserves for the higher priorities.
 	reservedPercent = 10
-	// busyRetry is the retry hint of a busy endpoint.
-	busyRetry = 250 * time.Millisecond
+	// Retry hints. A caller leaves the endpoint out for that long, so a hint
+	// longer than the reason lasts wastes the endpoint's capacity.
+	waitingRetry = 10 * time.Millisecond
+	limitRetry   = 30 * time.Millisecond
+	coldRetry    = 250 * time.Millisecond
 )
 
 // Gate admits the requests of one endpoint. Set the exported fields before the
@@ -98,13 +101,13 @@
 	allowed := limit - limit*reservedPercent*(ticket.MaxPriority-request.Priority)/percent
 	switch {
 	case len(g.waiting) >= g.ColdLimit:
-		return &Refusal{Reason: "the endpoint has not begun to answer earlier requests", RetryAfter: busyRetry}
+		return &Refusal{Reason: "the endpoint has not begun to answer earlier requests", RetryAfter: waitingRetry}
 	case g.isCold() && len(g.coldStarted) >= g.ColdLimit:
-		return &Refusal{Reason: "the endpoint is in cold start", RetryAfter: busyRetry}
+		return &Refusal{Reason: "the endpoint is in cold start", RetryAfter: coldRetry}
 	case g.inFlight >= max(1, allowed):
-		return &Refusal{Reason: "the endpoint is at its limit for this priority", RetryAfter: busyRetry}
+		return &Refusal{Reason: "the endpoint is at its limit for this priority", RetryAfter: limitRetry}
 	case g.overShare(request, limit):
-		return &Refusal{Reason: "the workspace is at its share of the endpoint", RetryAfter: busyRetry}
+		return &Refusal{Reason: "the workspace is at its share of the endpoint", RetryAfter: limitRetry}
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/bench/costs_test.go
@@ -0,0 +1,152 @@
+package bench
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/mimosaward/mimosaward/internal/admission"
+	"github.com/mimosaward/mimosaward/internal/answer"
+	"github.com/mimosaward/mimosaward/internal/roster"
+	"github.com/mimosaward/mimosaward/internal/routing"
+	"github.com/mimosaward/mimosaward/internal/state"
+	"github.com/mimosaward/mimosaward/internal/swarm"
+	"github.com/mimosaward/mimosaward/internal/weights"
+	"github.com/mimosaward/mimosaward/pkg/ticket"
+)
+
+// costFigure is what one operation costs on this machine.
+type costFigure struct {
+	Figure      string  `json:"figure"`
+	Name        string  `json:"name"`
+	Nanoseconds float64 `json:"nanoseconds"`
+	Allocations int64   `json:"allocations"`
+	Bytes       int64   `json:"bytes"`
+	Processors  int     `json:"processors"`
+}
+
+// memoryFigure is what one item of a process's state takes.
+type memoryFigure struct {
+	Figure       string  `json:"figure"`
+	Name         string  `json:"name"`
+	Items        int     `json:"items"`
+	BytesPerItem float64 `json:"bytesPerItem"`
+}
+
+// cost is one operation on a hot path with the allocations that it may make.
+type cost struct {
+	name           string
+	maxAllocations int64
+	run            func(b *testing.B)
+}
+
+func instances(count int) []roster.Instance {
+	var list []roster.Instance
+	for index := range count {
+		zone := fmt.Sprint("zone-", index%8)
+		list = append(list, roster.Instance{
+			Name: fmt.Sprintf("agent-%05d", index), Role: roster.AgentRole, AvailabilityZone: zone, Region: fmt.Sprint("region-", index%4),
+			Pool: fmt.Sprintf("pool-%d", index%40), Status: roster.Live, Version: int64(index + 1),
+			WorkAddress: fmt.Sprintf("10.0.%d.%d:8100", index/256, index%256), ControlAddress: fmt.Sprintf("10.0.%d.%d:8101", index/256, index%256),
+		})
+	}
+	return list
+}
+
+func costs() []cost {
+	return []cost{
+		{"admit", 1, func(b *testing.B) {
+			gate := &admission.Gate{WarmLimit: 64, ColdLimit: 4, ColdLatency: time.Second}
+			for b.Loop() {
+				slot, _ := gate.Admit(admission.Request{Workspace: "aso-care", Priority: 2, MaxShare: 100})
+				slot.FirstByte()
+				slot.Release()
+			}
+		}},
+		{"route", 8, func(b *testing.B) {
+			view := roster.NewView().With(instances(12000), 1)
+			router := &routing.Router{Self: roster.Instance{Name: "entry-1", AvailabilityZone: "zone-1", Region: "region-1"}, SubsetSize: 16}
+			snapshot := &state.Snapshot{}
+			for b.Loop() {
+				chosen, _ := router.Choose(routing.Request{Pool: "pool-1", PrefixKey: "p"}, view, snapshot)
+				router.Begin(chosen.Name)
+				router.End(chosen.Name)
+			}
+		}},
+		{"checkToken", 12, func(b *testing.B) {
+			line := []byte(`data: {"id":"r","object":"chat.completion.chunk","model":"draft","system_fingerprint":"s","choices":[{"index":0,"delta":{"content":"token "},"finish_reason":null}]}` + "\n")
+			checker := &answer.Checker{RequestID: "r", Set: "s"}
+			for b.Loop() {
+				if err := checker.Line(line); err != nil {
+					b.Fatal(err)
+				}
+			}
+		}},
+		{"applyTicket", 600, func(b *testing.B) {
+			store := state.NewStore()
+			for number := int64(1); b.Loop(); number++ {
+				filed := ticketOf(int(number))
+				filed.Number = number
+				store.Merge(state.FromTicket(&filed), number)
+			}
+		}},
+		{"verifyChunkMiB", 0, func(b *testing.B) {
+			data := make([]byte, 1<<20)
+			for b.Loop() {
+				weights.Sum(data)
+			}
+		}},
+		{"chunkSources", 16, func(b *testing.B) {
+			members := instances(440)
+			layout := swarm.NewLayout("set", members[7], members, "region-0", 8)
+			chunk := 0
+			for b.Loop() {
+				layout.Sources(chunk % 512)
+				chunk++
+			}
+		}},
+	}
+}
+
+// TestCosts holds the allocations of the hot paths against their bounds. The
+// nanoseconds are reported, never judged.
+func TestCosts(t *testing.T) {
+	for _, c := range costs() {
+		result := testing.Benchmark(c.run)
+		if allocations := result.AllocsPerOp(); allocations > c.maxAllocations {
+			t.Errorf("%s allocates %d times, bound %d", c.name, allocations, c.maxAllocations)
+		}
+		printFigure(t, costFigure{
+			Figure: "cost", Name: c.name, Nanoseconds: float64(result.NsPerOp()), Allocations: result.AllocsPerOp(),
+			Bytes: result.AllocedBytesPerOp(), Processors: runtime.GOMAXPROCS(0),
+		})
+	}
+}
+
+// heapOf returns the bytes that the result of build keeps.
+func heapOf(build func() any) (uint64, any) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	built := build()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	return max(after.HeapAlloc, before.HeapAlloc) - before.HeapAlloc, built
+}
+
+func TestMemory(t *testing.T) {
+	const listed, scopes = 14200, 4000
+	used, kept := heapOf(func() any { return roster.NewView().With(instances(listed), 1) })
+	printFigure(t, memoryFigure{Figure: "memory", Name: "rosterInstance", Items: listed, BytesPerItem: float64(used) / listed})
+	runtime.KeepAlive(kept)
+	used, kept = heapOf(func() any {
+		filed := &ticket.Ticket{Number: 1}
+		for index := range scopes {
+			filed.Pools = append(filed.Pools, ticket.Pool{Name: fmt.Sprint("pool-", index), Kind: ticket.ModelPool, Model: "draft", Version: "v1", Manifest: fmt.Sprintf("%064d", index)})
+		}
+		return (&state.Snapshot{}).With(state.FromTicket(filed), 1)
+	})
+	printFigure(t, memoryFigure{Figure: "memory", Name: "scope", Items: scopes, BytesPerItem: float64(used) / scopes})
+	runtime.KeepAlive(kept)
+}
