Describe the system, its settings, its log and its decisions

Cause: a newcomer had only the README. The settings reference and the log catalogue are written from the code and held against it by tests; findings about missing keys now name the line of the object that lacks them.

Before: line 0 for a missing key. After: the line of the enclosing object.

The page of capacities and its test wait for the measurements of make bench.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= 1
 STEPS ?= 2000
 
-.PHONY: build demo test lint unit bench soak capacity
+.PHONY: build demo test lint unit bench soak capacity docs
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -38,3 +38,12 @@
 # Runs the randomised runs: make soak SEED=7 STEPS=5000
 soak:
 	go test -race ./internal/system -count=1 -timeout 120m -v -run TestSoak -args -seed $(SEED) -steps $(STEPS)
+
+# Writes docs/CAPACITY.md from docs/measurements.jsonl, which make bench prints.
+capacity:
+	go run ./cmd/mimosaward-capacity docs/measurements.jsonl > docs/CAPACITY.md.new
+	mv docs/CAPACITY.md.new docs/CAPACITY.md
+
+# Rewrites the pages that follow from the code.
+docs:
+	go test ./internal/settings ./internal/event -run TestReference -count=1 -args -update
--- a/internal/bench/costs_test.go
+++ b/internal/bench/costs_test.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"context"
 	"fmt"
 	"runtime"
 	"testing"
@@ -8,8 +9,11 @@
 
 	"github.com/mimosaward/mimosaward/internal/admission"
 	"github.com/mimosaward/mimosaward/internal/answer"
+	"github.com/mimosaward/mimosaward/internal/control"
+	"github.com/mimosaward/mimosaward/internal/duty"
 	"github.com/mimosaward/mimosaward/internal/roster"
 	"github.com/mimosaward/mimosaward/internal/routing"
+	"github.com/mimosaward/mimosaward/internal/standin"
 	"github.com/mimosaward/mimosaward/internal/state"
 	"github.com/mimosaward/mimosaward/internal/swarm"
 	"github.com/mimosaward/mimosaward/internal/weights"
@@ -97,6 +101,7 @@
 				weights.Sum(data)
 			}
 		}},
+		{"controlCall", 60, controlCall},
 		{"chunkSources", 16, func(b *testing.B) {
 			members := instances(440)
 			layout := swarm.NewLayout("set", members[7], members, "region-0", 8)
@@ -109,6 +114,52 @@
 	}
 }
 
+// echoArgs and echoReply are as large as a relay's usual messages.
+type echoArgs struct {
+	UpTo     int64
+	Prefixes []string
+}
+
+type echoReply struct {
+	UpTo  int64
+	Zones map[string]time.Duration
+}
+
+// echo answers a call as a relay does when nothing changed.
+type echo struct{}
+
+// Call implements the service.
+func (echo) Call(args *echoArgs, reply *echoReply) error {
+	reply.UpTo = args.UpTo
+	reply.Zones = map[string]time.Duration{"zone-0": 1, "zone-1": 2, "zone-2": 3, "zone-3": 4}
+	return nil
+}
+
+// controlCall measures one call between processes, both ends together.
+func controlCall(b *testing.B) {
+	network := standin.NewNetwork()
+	server := control.NewServer()
+	if err := server.Register("Echo", echo{}); err != nil {
+		b.Fatal(err)
+	}
+	listener, err := network.For("server").Listen("server:81")
+	if err != nil {
+		b.Fatal(err)
+	}
+	group := duty.NewGroup(context.Background())
+	group.Go(func(ctx context.Context) { server.Run(ctx, listener) })
+	client := &control.Client{Dial: func(context.Context, string) (dialed, error) { return network.For("client").Dial("server:81") }}
+	for b.Loop() {
+		var reply echoReply
+		if err := client.Call(context.Background(), "server:81", "Echo.Call", &echoArgs{UpTo: 7, Prefixes: []string{"zone/a", "pool/b"}}, &reply); err != nil {
+			b.Fatal(err)
+		}
+	}
+	client.Close()
+	group.Stop()
+	group.Wait()
+}
+
 // TestCosts holds the allocations of the hot paths against their bounds. The
 // nanoseconds are reported, never judged.
 func TestCosts(t *testing.T) {
--- /dev/null
+++ b/internal/capacity/cases.go
@@ -0,0 +1,54 @@
+package capacity
+
+import "fmt"
+
+// requests lists the cost of requests, which is not part of the budget for
+// control.
+func (m *model) requests() string {
+	planned := Planned()
+	text := "## Requests at the peak\n\nProcessor time of the decisions and checks alone; the HTTP library's is not in\nit.\n\n"
+	text += header("role", "what", "for each process", "share of a core", "carried by")
+	perEntry := planned.RequestsSecond / planned.Entries
+	text += row("entry", "routing decisions a second", number(perEntry), share(perEntry*m.costs["route"]), "internal/routing: a subset of each pool")
+	tokens := planned.TokensSecond / planned.Entries
+	text += row("entry", "tokens checked a second", number(tokens), share(tokens*m.costs["checkToken"]), "internal/answer")
+	perAgent := planned.RequestsSecond / planned.Workers
+	text += row("agent", "admissions a second", number(perAgent), share(perAgent*m.costs["admit"]), "internal/admission")
+	tokens = planned.TokensSecond / planned.Workers
+	text += row("agent", "tokens checked a second", number(tokens), share(tokens*m.costs["checkToken"]), "internal/answer")
+	return text + "\n"
+}
+
+// bursts lists the measured bursts of the chosen way.
+func (m *model) bursts() string {
+	text := "## Weights\n\nMeasured bursts of the chosen way (TestBurstPolicies): a set that the origin's\nlink carries four times in 300 s and an instance's link twice, thin links of\n32 Mbit/s of which live traffic takes 30%. Faults: 5% of the instances die, 1%\nof the chunks are damaged, one thin link stalls for 30 s.\n\n"
+	text += header("instances", "regions", "faults", "seconds to all", "ratio to the floor", "origin copies", "copies over the worst thin link", "live delay p99 in ms", "messages for each instance")
+	for _, one := range m.all {
+		if one.Figure != "burst" || one.Policy != "striped" || one.Chunks < 512 {
+			continue
+		}
+		text += row(number(one.Instances), number(one.Regions), fmt.Sprint(one.Faults), number(one.ReplicaSecondsAll), fmt.Sprintf("%.2f", one.FloorRatio),
+			fmt.Sprintf("%.2f", one.OriginCopies), fmt.Sprintf("%.2f", one.InterRegionCopies), number(one.LiveDelayP99), number(one.ControlMessagesPerInstance))
+	}
+	hash := m.costs["verifyChunkMiB"]
+	text += fmt.Sprintf("\nVerifying takes %s s of a core for each GiB. Carried by internal/swarm, internal/exchange, internal/pace and internal/weights.\n\n", number(hash*1024))
+	return text
+}
+
+// events lists the cases that come on top of the ordinary load.
+func (m *model) events() string {
+	planned := Planned()
+	text := "## Events at the planned size\n\n" + header("event", "figure", "worked out from", "carried by")
+	join := m.listBytes * planned.Processes()
+	text += row("one instance restarts", fmt.Sprintf("%s for the instance list", mebibytes(join)), "list bytes for each instance", "internal/relay: the first pull from a parent")
+	rack := join * planned.RackInstances / (fanOut + 1)
+	text += row("a rack restarts at once", fmt.Sprintf("%s from each of its parents, if they are spread evenly", mebibytes(rack)), "the same, 40 instances", "internal/relay; no pacing of joins yet")
+	restarts := planned.RestartsDay / 86400 * join / planned.Processes()
+	text += row("1,300 restarts in a day", fmt.Sprintf("%s bytes a second for each process on average", number(restarts)), "the same", "internal/relay")
+	text += row("a zone leaves at the peak", fmt.Sprintf("%s requests a second move to the other zones", number(planned.RequestsSecond/planned.Zones)), "requests by zones", "internal/routing, internal/admission; measured at 12 workers by TestZoneLeavesAndReturnsUnderLoad")
+	text += row("regions lose each other", "a zone outside the majority refuses new work after 2.5 s", "freshness.MaxAge", "internal/freshness")
+	text += row("the store is out for long", "serving goes on, tickets and keyed calls are refused", "TestStoreOutageKeepsServing, TestBookingRunsOnce", "internal/freshness, internal/idempotency")
+	reads := m.afterOutage.at(planned.Processes())
+	text += row("the store answers again", fmt.Sprintf("%s reads a second in the first 5 s", number(reads)), "slope above", "internal/relay: only readers wait for the store")
+	return text + "\n"
+}
--- /dev/null
+++ b/internal/capacity/measurement.go
@@ -0,0 +1,107 @@
+// Package capacity works out what each role needs at the planned size from
+// measured slopes. The page docs/CAPACITY.md is its output.
+package capacity
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Measurement is one line that "make bench" printed.
+type Measurement struct {
+	Figure string `json:"figure"`
+	Name   string `json:"name"`
+	Policy string `json:"policy"`
+
+	Processes             float64 `json:"processes"`
+	Zones                 float64 `json:"zones"`
+	SecondsToEverywhere   float64 `json:"secondsToEverywhere"`
+	StoreReadsPerSecond   float64 `json:"storeReadsPerSecond"`
+	StoreWritesPerSecond  float64 `json:"storeWritesPerSecond"`
+	LeafBytesPerSecond    float64 `json:"leafBytesPerSecond"`
+	RelayBytesPerSecond   float64 `json:"relayBytesPerSecond"`
+	ReaderBytesPerSecond  float64 `json:"readerBytesPerSecond"`
+	WorstCallsPerSecond   float64 `json:"worstCallsPerSecond"`
+	ListBytesPerInstance  float64 `json:"listBytesPerInstance"`
+	StoreReadsAfterOutage float64 `json:"storeReadsAfterOutagePerSecond"`
+
+	Nanoseconds  float64 `json:"nanoseconds"`
+	BytesPerItem float64 `json:"bytesPerItem"`
+
+	Instances                  float64 `json:"instances"`
+	Regions                    float64 `json:"regions"`
+	Faults                     bool    `json:"faults"`
+	Chunks                     float64 `json:"chunks"`
+	ReplicaSecondsAll          float64 `json:"replicaSecondsAll"`
+	FloorRatio                 float64 `json:"floorRatio"`
+	OriginCopies               float64 `json:"originCopies"`
+	InterRegionCopies          float64 `json:"interRegionCopies"`
+	LiveDelayP99               float64 `json:"liveDelayMillisecondsP99"`
+	ControlMessagesPerInstance float64 `json:"controlMessagesPerInstance"`
+	ThinShareUsed              float64 `json:"thinShareUsed"`
+}
+
+// Read returns the measurements of a file with one JSON object a line.
+func Read(text []byte) ([]Measurement, error) {
+	var all []Measurement
+	scanner := bufio.NewScanner(bytes.NewReader(text))
+	for scanner.Scan() {
+		if len(bytes.TrimSpace(scanner.Bytes())) == 0 {
+			continue
+		}
+		var one Measurement
+		if err := json.Unmarshal(scanner.Bytes(), &one); err != nil {
+			return nil, errors.Wrapf(err, "measurement %d", len(all)+1)
+		}
+		all = append(all, one)
+	}
+	if err := scanner.Err(); err != nil && !errors.Is(err, io.EOF) {
+		return nil, errors.Wrap(err, "read measurements")
+	}
+	return all, nil
+}
+
+// line is a straight line fitted to measured points.
+type line struct {
+	intercept float64
+	slope     float64
+	// smallest and largest bound the sizes measured.
+	smallest float64
+	largest  float64
+}
+
+func (l line) at(size float64) float64 { return l.intercept + l.slope*size }
+
+// point is one measured value at a size.
+type point struct {
+	size  float64
+	value float64
+}
+
+// fit returns the least squares line through the points.
+func fit(points []point) line {
+	var n, sumX, sumY, sumXX, sumXY float64
+	fitted := line{}
+	for index, p := range points {
+		if index == 0 {
+			fitted.smallest = p.size
+		}
+		fitted.smallest, fitted.largest = min(fitted.smallest, p.size), max(fitted.largest, p.size)
+		n++
+		sumX += p.size
+		sumY += p.value
+		sumXX += p.size * p.size
+		sumXY += p.size * p.value
+	}
+	if spread := n*sumXX - sumX*sumX; spread > 0 {
+		fitted.slope = (n*sumXY - sumX*sumY) / spread
+	}
+	if n > 0 {
+		fitted.intercept = (sumY - fitted.slope*sumX) / n
+	}
+	return fitted
+}
--- /dev/null
+++ b/internal/capacity/model.go
@@ -0,0 +1,135 @@
+package capacity
+
+import "fmt"
+
+// model holds the slopes fitted to the measurements.
+type model struct {
+	all         []Measurement
+	leafBytes   line
+	relayBytes  line
+	readerBytes line
+	storeReads  line
+	storeWrites line
+	afterOutage line
+	calls       line
+	spread      line
+	listBytes   float64
+	costs       map[string]float64
+	memory      map[string]float64
+}
+
+// fittedZones is the number of zones of the fleets that the lines are fitted
+// to; fleets with other numbers of zones have other intercepts.
+const fittedZones = 8
+
+func newModel(all []Measurement) *model {
+	m := &model{all: all, costs: map[string]float64{}, memory: map[string]float64{}}
+	fitTickets := func(value func(Measurement) float64) line {
+		var points []point
+		for _, one := range all {
+			if one.Figure == "tickets" && one.Zones == fittedZones {
+				points = append(points, point{size: one.Processes, value: value(one)})
+			}
+		}
+		return fit(points)
+	}
+	m.leafBytes = fitTickets(func(one Measurement) float64 { return one.LeafBytesPerSecond })
+	m.relayBytes = fitTickets(func(one Measurement) float64 { return one.RelayBytesPerSecond })
+	m.readerBytes = fitTickets(func(one Measurement) float64 { return one.ReaderBytesPerSecond })
+	m.storeReads = fitTickets(func(one Measurement) float64 { return one.StoreReadsPerSecond })
+	m.storeWrites = fitTickets(func(one Measurement) float64 { return one.StoreWritesPerSecond })
+	m.afterOutage = fitTickets(func(one Measurement) float64 { return one.StoreReadsAfterOutage })
+	m.calls = fitTickets(func(one Measurement) float64 { return one.WorstCallsPerSecond })
+	m.spread = fitTickets(func(one Measurement) float64 { return one.SecondsToEverywhere })
+	for _, one := range all {
+		switch one.Figure {
+		case "cost":
+			m.costs[one.Name] = one.Nanoseconds / 1e9
+		case "memory":
+			m.memory[one.Name] = one.BytesPerItem
+		case "tickets":
+			m.listBytes = one.ListBytesPerInstance
+		}
+	}
+	return m
+}
+
+// today returns the measurement at today's size.
+func (m *model) today() Measurement {
+	for _, one := range m.all {
+		if one.Figure == "tickets" && one.Processes == Today().Processes() {
+			return one
+		}
+	}
+	return Measurement{}
+}
+
+// fanOut is the number of children of a relay, as package relay builds the
+// tree; beats is the number of pulls a second.
+const (
+	fanOut = 8
+	beats  = 1
+)
+
+// slopes lists the fitted lines.
+func (m *model) slopes() string {
+	text := "## Slopes\n\nFitted to the fleets with 8 zones of \"make bench\" (TestTickets), against the\nnumber of processes.\n\n"
+	text += header("what", "at 0", "for each process", "measured from", "to")
+	for _, fitted := range []struct {
+		name string
+		line line
+	}{
+		{"control bytes a second, leaf", m.leafBytes},
+		{"control bytes a second, relay", m.relayBytes},
+		{"control bytes a second, reader", m.readerBytes},
+		{"store reads a second", m.storeReads},
+		{"store writes a second", m.storeWrites},
+		{"store reads a second after an outage", m.afterOutage},
+		{"seconds until a ticket is everywhere", m.spread},
+	} {
+		text += row(fitted.name, number(fitted.line.intercept), fmt.Sprintf("%.5f", fitted.line.slope), number(fitted.line.smallest), number(fitted.line.largest))
+	}
+	return text + "\n"
+}
+
+// roles lists what each rank of process needs for control.
+func (m *model) roles() string {
+	planned, today := Planned(), Today()
+	text := "## Control, for each process\n\n"
+	text += header("role", "what", "today", "planned", "budget", "verdict", "carried by")
+	measured := m.today()
+	bytesRow := func(role string, now float64, fitted line, carried string) {
+		then := fitted.at(planned.Processes())
+		text += row(role, "bytes a second", number(now), number(then), number(budgetBytesSecond), verdict(then, budgetBytesSecond), carried)
+	}
+	bytesRow("entry or agent, leaf", measured.LeafBytesPerSecond, m.leafBytes, "internal/relay, subscriptions by scope")
+	bytesRow("entry or agent, relay", measured.RelayBytesPerSecond, m.relayBytes, "internal/relay, fan-out of 8")
+	bytesRow("entry or agent, reader", measured.ReaderBytesPerSecond, m.readerBytes, "internal/relay, readers by rank")
+	memory := func(size Size) float64 {
+		return m.memory["rosterInstance"]*size.Processes() + m.memory["scope"]*size.ScopesPerMember
+	}
+	text += row("entry or agent", "heap for instance list and scopes", mebibytes(memory(today)), mebibytes(memory(planned)), mebibytes(budgetMemoryBytes), verdict(memory(planned), budgetMemoryBytes), "internal/roster, internal/state")
+	core := (fanOut+1)*beats*m.costs["controlCall"] + planned.TicketsDay/86400*m.costs["applyTicket"]
+	text += row("relay", "share of a core", share(beats*m.costs["controlCall"]), share(core), share(budgetCoreShare), verdict(core, budgetCoreShare), "internal/control, internal/state")
+	reader := m.calls.at(planned.Processes())*2*m.costs["controlCall"] + core
+	text += row("reader", "share of a core", share(measured.WorstCallsPerSecond*2*m.costs["controlCall"]), share(reader), share(budgetCoreShare), verdict(reader, budgetCoreShare), "internal/relay")
+	return text + "\n"
+}
+
+// platform lists the load on the platform.
+func (m *model) platform() string {
+	planned := Planned()
+	measured := m.today()
+	text := "## Load on the platform\n\n" + header("what", "today", "planned", "budget", "verdict", "carried by")
+	reads := m.storeReads.at(planned.Processes())
+	writes := m.storeWrites.at(planned.Processes())
+	text += row("object API reads a second", number(measured.StoreReadsPerSecond), number(reads), number(budgetStoreReads), verdict(reads, budgetStoreReads), "internal/relay: 2 readers for each zone")
+	text += row("object API writes a second, tickets", number(measured.StoreWritesPerSecond), number(writes), number(budgetStoreWrites), verdict(writes, budgetStoreWrites), "internal/filing: one acknowledgement for each zone")
+	const keyWrites = 64 * 4
+	text += row("object API writes a second, idempotency keys, at most", number(keyWrites), number(keyWrites), number(budgetStoreWrites), verdict(keyWrites+writes, budgetStoreWrites), "internal/idempotency: 64 ranges, 4 writes a second each")
+	polls := planned.Zones * planned.ReadersPerZone
+	text += row("instance list reads a second", number(Today().Zones*Today().ReadersPerZone), number(polls), "not stated", "", "internal/relay: readers only")
+	seconds := m.spread.at(planned.Processes())
+	text += row("seconds until a ticket is everywhere", number(measured.SecondsToEverywhere), number(seconds), number(budgetTicketSecond), verdict(seconds, budgetTicketSecond), "internal/relay")
+	return text + "\n"
+}
--- /dev/null
+++ b/internal/capacity/size.go
@@ -0,0 +1,49 @@
+package capacity
+
+// Size is the size of an installation.
+type Size struct {
+	Name            string
+	Entries         float64
+	Workers         float64
+	Zones           float64
+	Regions         float64
+	RequestsSecond  float64
+	TokensSecond    float64
+	BurstInstances  float64
+	TicketsDay      float64
+	RestartsDay     float64
+	RackInstances   float64
+	ReadersPerZone  float64
+	ScopesPerMember float64
+}
+
+// Processes returns the number of the system's processes.
+func (s Size) Processes() float64 { return s.Entries + s.Workers }
+
+// Planned returns the size to design for, as the users' letter gives it. A
+// rack holds 40 instances; scopes are the pools, zones, endpoints and
+// workspaces that tickets name.
+func Planned() Size {
+	return Size{
+		Name: "planned", Entries: 2200, Workers: 12000, Zones: 8, Regions: 4, RequestsSecond: 91000, TokensSecond: 21e6,
+		BurstInstances: 440, TicketsDay: 38000, RestartsDay: 1300, RackInstances: 40, ReadersPerZone: 2, ScopesPerMember: 4000,
+	}
+}
+
+// Today returns the size of today. The users give no request rate for it.
+func Today() Size {
+	return Size{
+		Name: "today", Entries: 4, Workers: 15, Zones: 3, Regions: 3, BurstInstances: 12, TicketsDay: 100, RestartsDay: 2,
+		RackInstances: 4, ReadersPerZone: 2, ScopesPerMember: 40,
+	}
+}
+
+// Budget of a process for control, from the users' letter.
+const (
+	budgetBytesSecond  = 3 << 10
+	budgetMemoryBytes  = 32 << 20
+	budgetCoreShare    = 0.02
+	budgetStoreReads   = 2000
+	budgetStoreWrites  = 400
+	budgetTicketSecond = 10
+)
--- a/internal/document/node.go
+++ b/internal/document/node.go
@@ -58,9 +58,15 @@
 // Valid reports whether the text was JSON, so that its values can be checked.
 func (d *Document) Valid() bool { return d.root != nil }
 
-// Line returns the line of the value at path, or 0 if the document lacks it.
+// Line returns the line of the value at path, or of the innermost object around
+// it that the document has.
 func (d *Document) Line(path string) int {
-	return findLine(d.root, path)
+	for {
+		if line := findLine(d.root, path); line > 0 || path == "" {
+			return line
+		}
+		path = path[:max(0, strings.LastIndexAny(path, ".["))]
+	}
 }
 
 func findLine(n *node, path string) int {
--- /dev/null
+++ b/internal/settings/reference.go
@@ -0,0 +1,73 @@
+package settings
+
+import (
+	"encoding"
+	"fmt"
+	"reflect"
+	"strings"
+	"time"
+)
+
+// Reference returns the settings reference, docs/settings.md.
+func Reference() string {
+	var page strings.Builder
+	page.WriteString(referenceIntro)
+	for _, program := range []struct {
+		name     string
+		defaults any
+	}{
+		{"mimosaward-entry", DefaultEntry()},
+		{"mimosaward-agent", DefaultAgent()},
+		{"mimosaward", Operator{}},
+	} {
+		fmt.Fprintf(&page, "\n## %s\n\n| key | required | default | meaning |\n| --- | --- | --- | --- |\n", program.name)
+		describe(&page, "", reflect.ValueOf(program.defaults))
+	}
+	return page.String()
+}
+
+const referenceIntro = `# Settings
+
+Settings are JSON files. They are checked as a whole: unknown and duplicate keys,
+missing keys, values without a unit and values that clash are reported together,
+each with file, line and key path. "mimosaward settings check --kind entry FILE"
+checks without starting anything.
+
+Durations are strings such as "250ms" or "30s", sizes such as "64MiB", addresses
+an IP address with a port.
+`
+
+// describe writes one row for each key, depth first.
+func describe(page *strings.Builder, path string, value reflect.Value) {
+	for index := range value.NumField() {
+		field := value.Type().Field(index)
+		key := strings.TrimPrefix(path+"."+field.Tag.Get("json"), ".")
+		if value.Field(index).Kind() == reflect.Struct {
+			describe(page, key, value.Field(index))
+			continue
+		}
+		required := ""
+		if strings.Contains(field.Tag.Get("check"), "required") {
+			required = "yes"
+		}
+		fmt.Fprintf(page, "| `%s` | %s | %s | %s |\n", key, required, defaultText(value.Field(index)), field.Tag.Get("doc"))
+	}
+}
+
+func defaultText(value reflect.Value) string {
+	if value.IsZero() {
+		return ""
+	}
+	switch held := value.Interface().(type) {
+	case time.Duration:
+		return "`" + held.String() + "`"
+	case encoding.TextMarshaler:
+		text, err := held.MarshalText()
+		if err != nil {
+			return ""
+		}
+		return "`" + string(text) + "`"
+	default:
+		return fmt.Sprintf("`%v`", held)
+	}
+}
--- a/internal/swarm/layout.go
+++ b/internal/swarm/layout.go
@@ -26,6 +26,10 @@
 	home    string
 	regions []*region
 	own     *region
+	// homeRegion is nil if no member is in the region of the origin's link.
+	homeRegion *region
+	// abroad are the regions but the home region.
+	abroad []*region
 	// index is the rank of self in its region.
 	index int
 }
@@ -62,6 +66,11 @@
 	}
 	slices.SortFunc(layout.regions, compareRegions)
 	for _, r := range layout.regions {
+		if r.name == home {
+			layout.homeRegion = r
+		} else {
+			layout.abroad = append(layout.abroad, r)
+		}
 		if r.name == self.Region {
 			layout.own = r
 			layout.index = slices.IndexFunc(r.ranked, func(i roster.Instance) bool { return i.Name == self.Name })
--- a/internal/swarm/source.go
+++ b/internal/swarm/source.go
@@ -65,22 +65,26 @@
 	stripe := l.own.stripe(chunk)
 	position, hasParent := l.own.parent(stripe, l.index)
 	if !hasParent {
-		return l.upstream(chunk)
+		return l.appendUpstream(make([]Source, 0, maxSources), chunk)
 	}
 	parentRank := position*l.own.stripes + stripe
-	sources := []Source{peer(l.own.ranked[parentRank])}
+	sources := make([]Source, 0, maxSources)
+	sources = append(sources, peer(l.own.ranked[parentRank]))
 	if position > 0 {
 		sources = l.appendAdopters(sources, chunk, parentRank)
 	}
 	sources = l.appendSuccession(sources, chunk)
-	return append(l.withoutSelf(sources), l.upstream(chunk)...)
+	return l.appendUpstream(l.withoutSelf(sources), chunk)
 }
 
+// maxSources is the usual number of sources of a chunk.
+const maxSources = 40
+
 // RootSources returns where self gets a chunk after another instance asked it
 // to take over as the root of the chunk's stripe: from the instances before
 // self in the succession if any is left, otherwise from outside the region.
 func (l *Layout) RootSources(chunk int) []Source {
-	return append(l.withoutSelf(l.appendSuccession(nil, chunk)), l.upstream(chunk)...)
+	return l.appendUpstream(l.withoutSelf(l.appendSuccession(nil, chunk)), chunk)
 }
 
 // appendAdopters adds the nodes that have capacity to spare when a parent is
@@ -139,7 +143,7 @@
 // other: the stripe's root, then instances that differ from chunk to chunk, so
 // that a lost root's work is spread over the region.
 func (r *region) succession(chunk int) []int {
-	ranks := []int{r.stripe(chunk)}
+	ranks := append(make([]int, 0, maxSuccession), r.stripe(chunk))
 	next := chunk%len(r.ranked) + chunk/len(r.ranked)
 	for len(ranks) < min(maxSuccession, len(r.ranked)) {
 		next = (next + 1) % len(r.ranked)
@@ -150,22 +154,21 @@
 	return ranks
 }
 
-// upstream returns where a stripe's root gets a chunk. In the home region that
-// is the origin. Any other region gets its share of the chunks from the home
-// region and the rest from the region that got them first, so that every thin
-// link carries a part of the weights, and each chunk at most once.
-func (l *Layout) upstream(chunk int) []Source {
-	if l.self.Region == l.home || l.homeRegion() == nil {
-		return []Source{FromOrigin()}
+// appendUpstream adds where a stripe's root gets a chunk. In the home region
+// that is the origin. Any other region gets its share of the chunks from the
+// home region and the rest from the region that got them first, so that every
+// thin link carries a part of the weights, and each chunk at most once.
+func (l *Layout) appendUpstream(sources []Source, chunk int) []Source {
+	if l.self.Region == l.home || l.homeRegion == nil {
+		return append(sources, FromOrigin())
 	}
-	var sources []Source
 	first := l.first(chunk)
 	if first != l.own {
 		sources = l.appendFar(sources, first, chunk)
 	}
-	sources = l.appendFar(sources, l.homeRegion(), chunk)
-	for _, other := range l.regions {
-		if other != l.own && other != first && other.name != l.home {
+	sources = l.appendFar(sources, l.homeRegion, chunk)
+	for _, other := range l.abroad {
+		if other != l.own && other != first {
 			sources = l.appendFar(sources, other, chunk)
 		}
 	}
@@ -183,26 +186,11 @@
 	return appendNew(sources, farPeer(other.node(stripe, other.inner(stripe)-1)))
 }
 
-func (l *Layout) homeRegion() *region {
-	for _, r := range l.regions {
-		if r.name == l.home {
-			return r
-		}
-	}
-	return nil
-}
-
 // first returns the region that gets a chunk directly from the home region.
+// Whole rounds of the home region's stripes go to one region after the other,
+// so that every instance of a region gets its part of them.
 func (l *Layout) first(chunk int) *region {
-	var others []*region
-	for _, r := range l.regions {
-		if r.name != l.home {
-			others = append(others, r)
-		}
-	}
-	// Whole rounds of the home region's stripes go to one region after the
-	// other, so that every instance of a region gets its part of them.
-	return others[chunk/len(l.homeRegion().ranked)%len(others)]
+	return l.abroad[chunk/len(l.homeRegion.ranked)%len(l.abroad)]
 }
 
 func (l *Layout) withoutSelf(sources []Source) []Source {
