Share the life of a process and the reading of events between entry and agent

Cause: both programs had their own copy of starting, serving and draining, and of reading one checked event.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -11,7 +11,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mimosaward/mimosaward/internal/admission"
-	"github.com/mimosaward/mimosaward/internal/duty"
 	"github.com/mimosaward/mimosaward/internal/event"
 	"github.com/mimosaward/mimosaward/internal/exchange"
 	"github.com/mimosaward/mimosaward/internal/platform"
@@ -54,32 +53,14 @@
 	if err := a.prepare(); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
-	group := duty.NewGroup(ctx)
-	failed := make(chan error, 2)
-	serve := func(run func(ctx context.Context) error) {
-		group.Go(func(ctx context.Context) {
-			if err := run(ctx); err != nil {
-				a.Log.Emit(event.ServerFailed, event.Fields{"error": err.Error()})
-				failed <- err
-			}
-		})
+	program := process.Program{
+		AdminAddress: a.Settings.AdminAddress, Address: a.Settings.WorkAddress, App: a.app(),
+		Drain: func(ctx context.Context) { a.drain.Wait(ctx, a.Settings.DrainTimeout, a.Log) },
 	}
-	serve(func(ctx context.Context) error { return a.base.Run(ctx, a.Settings.AdminAddress) })
-	serve(func(ctx context.Context) error { return a.base.ServeHTTP(ctx, a.Settings.WorkAddress, a.app()) })
 	if a.isModel() {
-		group.Go(a.roll)
-		group.Every(statusInterval, a.pollEngine)
+		program.Duties = append(program.Duties, a.roll, a.watchEngine)
 	}
-	a.Log.Emit(event.ProcessStarted, event.Fields{"workAddress": a.Settings.WorkAddress})
-	var err error
-	select {
-	case <-stop.Done():
-		a.drain.Wait(ctx, a.Settings.DrainTimeout, a.Log)
-	case err = <-failed:
-	}
-	cancel()
-	group.Wait()
+	err := a.base.RunProgram(stop, program)
 	a.endpoint.Close()
 	a.peers.Close()
 	return err
--- a/internal/agent/chat.go
+++ b/internal/agent/chat.go
@@ -2,8 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
-	"io"
 
 	"github.com/cockroachdb/errors"
 	"github.com/gofiber/fiber/v3"
@@ -45,7 +43,7 @@
 	checker := &answer.Checker{RequestID: c.Get(outcome.RequestIDHeader), Set: request.set}
 	// The first event is read before the status is sent, so that a request
 	// that fails before it can be retried elsewhere.
-	first, err := nextEvent(response, checker)
+	first, err := firstEvent(response, checker)
 	if err != nil {
 		response.Close()
 		request.end()
@@ -86,27 +84,12 @@
 	return a.refuse(c, fiber.StatusBadGateway, what, admission.Refusal{Reason: "the endpoint failed: " + err.Error(), RetryAfter: closedRetry})
 }
 
-// nextEvent returns the lines up to the next event, checked.
-func nextEvent(response *upstream.Response, checker *answer.Checker) ([]byte, error) {
+// firstEvent returns the first event, checked.
+func firstEvent(response *upstream.Response, checker *answer.Checker) ([]byte, error) {
 	if response.Status() != fiber.StatusOK {
 		return nil, errors.Newf("endpoint answered with status %d", response.Status())
 	}
-	var event []byte
-	for {
-		line, err := response.Line()
-		if checkErr := checker.Line(line); checkErr != nil {
-			return nil, checkErr
-		}
-		event = append(event, line...)
-		switch {
-		case err != nil && errors.Is(err, io.EOF):
-			return event, answer.ErrCut
-		case err != nil:
-			return event, err
-		case len(bytes.TrimSpace(line)) == 0 && len(event) > len(line):
-			return event, nil
-		}
-	}
+	return checker.Next(response.Line)
 }
 
 // copyStream passes events on until the end marker. A stream that breaks ends
@@ -120,7 +103,7 @@
 			return
 		}
 		var err error
-		event, err = nextEvent(response, checker)
+		event, err = checker.Next(response.Line)
 		if err != nil {
 			a.noteMismatch(err, checker.RequestID)
 			_, _ = w.WriteString("event: error\ndata: {}\n\n")
--- a/internal/agent/engine.go
+++ b/internal/agent/engine.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/gofiber/fiber/v3"
 
+	"github.com/mimosaward/mimosaward/internal/duty"
 	"github.com/mimosaward/mimosaward/internal/upstream"
 	"github.com/mimosaward/mimosaward/internal/weights"
 )
@@ -50,9 +51,16 @@
 	return nil
 }
 
+// watchEngine reads the engine's report until ctx ends.
+func (a *Agent) watchEngine(ctx context.Context) {
+	for duty.Sleep(ctx, statusInterval) {
+		a.pollEngine()
+	}
+}
+
 // pollEngine reads the engine's report: a cold engine closes the gate early,
 // and an engine that lost its weights is loaded again.
-func (a *Agent) pollEngine(context.Context) {
+func (a *Agent) pollEngine() {
 	served, _, open := a.serving.current()
 	if !open {
 		return
--- a/internal/entry/addresses.go
+++ b/internal/entry/addresses.go
@@ -9,6 +9,7 @@
 
 	"github.com/gofiber/fiber/v3"
 
+	"github.com/mimosaward/mimosaward/internal/duty"
 	"github.com/mimosaward/mimosaward/internal/roster"
 	"github.com/mimosaward/mimosaward/pkg/ticket"
 )
@@ -71,6 +72,14 @@
 	return load, known
 }
 
+// watchPeers asks other entries for their load until ctx ends.
+func (e *Entry) watchPeers(ctx context.Context) {
+	for ctx.Err() == nil {
+		e.pollPeers(ctx)
+		duty.Sleep(ctx, peerInterval)
+	}
+}
+
 // pollPeers asks a bounded set of other entries for their load.
 func (e *Entry) pollPeers(ctx context.Context) {
 	loads := map[string]peerLoad{}
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -5,12 +5,10 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
 	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
 	"github.com/gofiber/fiber/v3"
 
 	"github.com/mimosaward/mimosaward/internal/answer"
@@ -130,7 +128,7 @@
 // endpoint breaks it.
 func (s *stream) next() ([]byte, error) {
 	for resumes := 0; ; resumes++ {
-		event, err := readEvent(s.current.response, s.checker)
+		event, err := s.checker.Next(s.current.response.Line)
 		if err == nil {
 			return event, nil
 		}
@@ -140,26 +138,6 @@
 	}
 }
 
-// readEvent returns the lines up to the next event, checked.
-func readEvent(response *upstream.Response, checker *answer.Checker) ([]byte, error) {
-	var lines []byte
-	for {
-		line, err := response.Line()
-		if checkErr := checker.Line(line); checkErr != nil {
-			return nil, checkErr
-		}
-		lines = append(lines, line...)
-		switch {
-		case errors.Is(err, io.EOF):
-			return nil, answer.ErrCut
-		case err != nil:
-			return nil, err
-		case len(bytes.TrimSpace(line)) == 0 && len(lines) > len(line):
-			return lines, nil
-		}
-	}
-}
-
 // resume continues the stream on another endpoint that serves the same weight
 // set, after the tokens that the caller holds. It reports false if that is not
 // possible.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -51,37 +51,24 @@
 	if err := e.prepare(); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
-	group := duty.NewGroup(ctx)
-	failed := make(chan error, 2)
-	serve := func(run func(ctx context.Context) error) {
-		group.Go(func(ctx context.Context) {
-			if err := run(ctx); err != nil {
-				e.Log.Emit(event.ServerFailed, event.Fields{"error": err.Error()})
-				failed <- err
-			}
-		})
-	}
-	serve(func(ctx context.Context) error { return e.base.Run(ctx, e.Settings.AdminAddress) })
-	serve(func(ctx context.Context) error { return e.base.ServeHTTP(ctx, e.Settings.CallersAddress, e.app()) })
-	group.Go(e.claims.Run)
-	group.Every(peerInterval, e.pollPeers)
-	group.Every(forgetInterval, func(context.Context) { e.router.Forget(e.base.Roster.View()) })
-	e.Log.Emit(event.ProcessStarted, event.Fields{"callersAddress": e.Settings.CallersAddress})
-	var err error
-	select {
-	case <-stop.Done():
-		e.stop(ctx)
-	case err = <-failed:
-	}
-	cancel()
-	group.Wait()
+	err := e.base.RunProgram(stop, process.Program{
+		AdminAddress: e.Settings.AdminAddress, Address: e.Settings.CallersAddress, App: e.app(),
+		Duties: []func(ctx context.Context){e.claims.Run, e.watchPeers, e.forgetEndpoints},
+		Drain:  e.stop,
+	})
 	for _, client := range []*upstream.Client{e.streams, e.calls, e.onceOnly} {
 		client.Close()
 	}
 	return err
 }
 
+// forgetEndpoints drops what the router knows about endpoints that are gone.
+func (e *Entry) forgetEndpoints(ctx context.Context) {
+	for duty.Sleep(ctx, forgetInterval) {
+		e.router.Forget(e.base.Roster.View())
+	}
+}
+
 // stop leaves the list of addresses, serves callers that still hold the old
 // list for as long as they may keep it, then finishes what is in flight. Other
 // entries may hand out the old list until they ask for this entry's load again.
--- /dev/null
+++ b/internal/process/program.go
@@ -0,0 +1,54 @@
+package process
+
+import (
+	"context"
+
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/mimosaward/mimosaward/internal/duty"
+	"github.com/mimosaward/mimosaward/internal/event"
+)
+
+// Program is what an entry or an agent serves besides the shared parts.
+type Program struct {
+	AdminAddress string
+	// Address and App serve requests.
+	Address string
+	App     *fiber.App
+	// Duties run until the program has drained.
+	Duties []func(ctx context.Context)
+	// Drain finishes the work in flight.
+	Drain func(ctx context.Context)
+}
+
+// RunProgram serves until stop ends, then drains and returns. If a server
+// fails, it returns the error at once.
+func (b *Base) RunProgram(stop context.Context, p Program) error {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
+	defer cancel()
+	group := duty.NewGroup(ctx)
+	failed := make(chan error, 2)
+	serve := func(run func(ctx context.Context) error) {
+		group.Go(func(ctx context.Context) {
+			if err := run(ctx); err != nil {
+				b.Log.Emit(event.ServerFailed, event.Fields{"error": err.Error()})
+				failed <- err
+			}
+		})
+	}
+	serve(func(ctx context.Context) error { return b.Run(ctx, p.AdminAddress) })
+	serve(func(ctx context.Context) error { return b.ServeHTTP(ctx, p.Address, p.App) })
+	for _, run := range p.Duties {
+		group.Go(run)
+	}
+	b.Log.Emit(event.ProcessStarted, event.Fields{"address": p.Address})
+	var err error
+	select {
+	case <-stop.Done():
+		p.Drain(ctx)
+	case err = <-failed:
+	}
+	cancel()
+	group.Wait()
+	return err
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -107,6 +107,13 @@
 	e.warmAt = time.Now().Add(e.ColdFor)
 }
 
+// Restart drops the weights.
+func (e *Engine) Restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.set, e.content = "", weights.Digest{}
+}
+
 // Status returns the engine's report.
 func (e *Engine) Status() EngineStatus {
 	e.mu.Lock()
--- a/internal/standin/origin.go
+++ b/internal/standin/origin.go
@@ -89,6 +89,13 @@
 	return s.counts
 }
 
+// SetFaults replaces the faults.
+func (s *OriginStore) SetFaults(faults OriginFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+}
+
 // publication asks for a made-up weight set.
 type publication struct {
 	Model      string `json:"model"`
@@ -128,11 +135,11 @@
 }
 
 func (s *OriginStore) putFaults(body []byte) (int, []byte, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if err := json.Unmarshal(body, &s.faults); err != nil {
+	var faults OriginFaults
+	if err := json.Unmarshal(body, &faults); err != nil {
 		return 400, []byte(err.Error()), nil
 	}
+	s.SetFaults(faults)
 	return 200, []byte("{}"), nil
 }
 
--- a/internal/system/stop_test.go
+++ b/internal/system/stop_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/mimosaward/mimosaward/internal/duty"
 	"github.com/mimosaward/mimosaward/internal/roster"
+	"github.com/mimosaward/mimosaward/internal/standin"
 	"github.com/mimosaward/mimosaward/pkg/outcome"
 )
 
@@ -165,3 +166,38 @@
 		}
 	})
 }
+
+// The origin sends damaged chunks while instances are cut off: every engine
+// still ends with the whole set, and nobody gets an answer from a damaged one.
+func TestDamagedChunksNeverReachAnEngine(t *testing.T) {
+	inBubble(t, func(s *system) {
+		s.origin.SetFaults(standin.OriginFaults{Corrupt: 0.3})
+		set := s.rollOut("v2")
+		s.fakes.Go(func(ctx context.Context) {
+			duty.Sleep(ctx, 500*time.Millisecond)
+			s.network.Cut("draft-0-0", "draft-0-1", "draft-1-0")
+			duty.Sleep(ctx, 5*time.Second)
+			s.network.Heal("draft-0-0", "draft-0-1", "draft-1-0")
+		})
+		requireWhole(t, s.callers(4, []int{0, 1, 2}, 30*time.Second))
+		for name, engine := range s.engines {
+			want := s.contentOf(set).String()
+			if status := engine.Status(); status.Set != set || status.Content != want {
+				t.Errorf("engine %s holds set %s with content %s, want %s with %s", name, status.Set, status.Content, set, want)
+			}
+		}
+	})
+}
+
+// An engine that lost its weights, as after its restart, is loaded again.
+func TestEngineThatLostItsWeightsIsLoadedAgain(t *testing.T) {
+	inBubble(t, func(s *system) {
+		want := s.engines["draft-0-0"].Status().Set
+		s.engines["draft-0-0"].Restart()
+		time.Sleep(5 * time.Second)
+		if got := s.engines["draft-0-0"].Status().Set; got != want {
+			t.Errorf("restarted engine serves %q, want %q", got, want)
+		}
+		requireWhole(t, s.callers(4, []int{0}, 2*time.Second))
+	})
+}
