Bound the writes of control calls

Ruled out: the relay and the stores (all waiting durably); the stack showed rpc.Client.send.

Change: a write ends after 500 ms, and callers wait for their turn to write with their own deadline. The fake network now honours deadlines while frozen.

--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 
 # Prints one JSON object a line for every figure.
 bench:
-	@go test ./internal/bench ./internal/system -run 'TestBurst|TestTickets|TestCosts|TestMemory|TestZoneLeaves' -count=1 -timeout 60m -v -args -figures | grep -o '{"figure.*'
+	@go test ./internal/bench ./internal/system -run 'TestBurst|TestTickets|TestCosts|TestMemory|TestPrefixAffinity|TestZoneLeaves' -count=1 -timeout 60m -v -args -figures | grep -o '{"figure.*'
 
 # Runs the randomised runs: make soak SEED=7 STEPS=5000
 soak:
--- /dev/null
+++ b/internal/bench/affinity_test.go
@@ -0,0 +1,110 @@
+package bench
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/mimosaward/mimosaward/internal/admission"
+	"github.com/mimosaward/mimosaward/internal/roster"
+	"github.com/mimosaward/mimosaward/internal/routing"
+	"github.com/mimosaward/mimosaward/internal/state"
+)
+
+// affinityFigure weighs cache hits against imbalance.
+type affinityFigure struct {
+	Figure    string  `json:"figure"`
+	Affinity  bool    `json:"affinity"`
+	Endpoints int     `json:"endpoints"`
+	Prefixes  int     `json:"prefixes"`
+	HitShare  float64 `json:"hitShare"`
+	// Imbalance is the requests of the busiest endpoint over the mean.
+	Imbalance float64 `json:"imbalance"`
+}
+
+const (
+	affinityRequests = 20_000
+	// cachedPrefixes is the number of prefixes that an engine keeps.
+	cachedPrefixes  = 20
+	affinityLimit   = 16
+	affinityPercent = 60
+)
+
+// prefixCache is an engine's prefix cache; the least recently used one goes.
+type prefixCache struct {
+	kept []int
+}
+
+func (c *prefixCache) use(prefix int) bool {
+	index := slices.Index(c.kept, prefix)
+	if index >= 0 {
+		c.kept = slices.Delete(c.kept, index, index+1)
+	}
+	c.kept = append(c.kept, prefix)
+	c.kept = c.kept[max(0, len(c.kept)-cachedPrefixes):]
+	return index >= 0
+}
+
+// measureAffinity offers requests whose prefixes are unevenly popular, with a
+// steady share of the endpoints' limits in use.
+func measureAffinity(affinity bool) affinityFigure {
+	const endpoints, prefixes = 12, 100
+	random := rand.New(rand.NewPCG(5, 5))
+	zipf := rand.NewZipf(random, 1.2, 4, prefixes-1)
+	var list []roster.Instance
+	for index := range endpoints {
+		list = append(list, roster.Instance{Name: fmt.Sprint("draft-", index), Role: roster.AgentRole, Pool: "drafting", AvailabilityZone: "a", Region: "a", Status: roster.Live, Version: 1})
+	}
+	view := roster.NewView().With(list, 1)
+	router := &routing.Router{Self: roster.Instance{Name: "entry", AvailabilityZone: "a", Region: "a"}, SubsetSize: 16}
+	caches, counts := map[string]*prefixCache{}, map[string]int{}
+	var inFlight []string
+	hits := 0
+	for range affinityRequests {
+		prefix := int(zipf.Uint64())
+		request := routing.Request{Pool: "drafting"}
+		if affinity {
+			request.PrefixKey = fmt.Sprint(prefix)
+		}
+		chosen, _ := router.Choose(request, view, &state.Snapshot{})
+		router.Begin(chosen.Name)
+		inFlight = append(inFlight, chosen.Name)
+		if len(inFlight) > endpoints*affinityLimit*affinityPercent/100 {
+			index := random.IntN(len(inFlight))
+			router.End(inFlight[index])
+			inFlight = slices.Delete(inFlight, index, index+1)
+		}
+		busy := 0
+		for _, name := range inFlight {
+			if name == chosen.Name {
+				busy++
+			}
+		}
+		router.Report(chosen.Name, admission.Load{InFlight: busy, Limit: affinityLimit})
+		if caches[chosen.Name] == nil {
+			caches[chosen.Name] = &prefixCache{}
+		}
+		if caches[chosen.Name].use(prefix) {
+			hits++
+		}
+		counts[chosen.Name]++
+	}
+	busiest := 0
+	for _, count := range counts {
+		busiest = max(busiest, count)
+	}
+	return affinityFigure{
+		Figure: "prefixAffinity", Affinity: affinity, Endpoints: endpoints, Prefixes: prefixes,
+		HitShare: float64(hits) / affinityRequests, Imbalance: float64(busiest) * endpoints / affinityRequests,
+	}
+}
+
+func TestPrefixAffinity(t *testing.T) {
+	without, with := measureAffinity(false), measureAffinity(true)
+	printFigure(t, without)
+	printFigure(t, with)
+	if with.HitShare <= without.HitShare {
+		t.Errorf("affinity gives %.3f hits, without %.3f", with.HitShare, without.HitShare)
+	}
+}
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -45,6 +45,7 @@
 - Processor time was measured on one machine, with other work on it.
 - The checkpoint is one object of at most 1 MiB. With the measured size of a
   scope it holds some thousands of scopes; it is not split yet.
+- Filed tickets stay in the object API for "ticket show"; nothing deletes old ones.
 - The journals of idempotency keys are rewritten whole. The bound of 4 writes a
   second for each range limits keyed calls to what fits 64 journals of 5,000
   keys in their retention of 2 hours, about 44 calls a second. At the planned
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -6,8 +6,11 @@
 	"net/rpc"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/mimosaward/mimosaward/internal/duty"
 )
 
 // ErrUnreachable means that the peer gave no answer; the call may have run.
@@ -20,7 +23,7 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 
 	mu       sync.Mutex
-	peers    map[string]*rpc.Client
+	peers    map[string]*peer
 	calls    atomic.Int64
 	received atomic.Int64
 	sent     atomic.Int64
@@ -38,35 +41,50 @@
 // Bytes returns the bytes received and sent.
 func (c *Client) Bytes() (received, sent int64) { return c.received.Load(), c.sent.Load() }
 
+// peer is a connection. Its turn is taken while a request is written, so that
+// callers that wait behind a peer that takes no bytes can give up.
+type peer struct {
+	rpc  *rpc.Client
+	turn duty.Turn
+}
+
 // Call runs method at address and stores its answer in reply. If ctx ends
 // first, the connection is closed, since a peer that does not answer in time
 // may never answer; reply must not be used then.
 func (c *Client) Call(ctx context.Context, address, method string, args, reply any) error {
 	c.calls.Add(1)
-	peer, err := c.peer(ctx, address)
+	to, err := c.connect(ctx, address)
 	if err != nil {
 		return errors.Mark(errors.Wrapf(err, "connect to %s", address), ErrUnreachable)
 	}
-	call := peer.Go(method, args, reply, make(chan *rpc.Call, 1))
+	if err := to.turn.Take(ctx); err != nil {
+		return c.giveUp(address, to, method, err)
+	}
+	call := to.rpc.Go(method, args, reply, make(chan *rpc.Call, 1))
+	to.turn.Give()
 	select {
 	case <-call.Done:
-		return c.finish(address, peer, call.Error)
+		return c.finish(address, to, call.Error)
 	case <-ctx.Done():
-		c.drop(address, peer)
-		return errors.Mark(errors.Wrapf(ctx.Err(), "call %s at %s", method, address), ErrUnreachable)
+		return c.giveUp(address, to, method, ctx.Err())
 	}
 }
 
-func (c *Client) finish(address string, peer *rpc.Client, err error) error {
+func (c *Client) giveUp(address string, from *peer, method string, cause error) error {
+	c.drop(address, from)
+	return errors.Mark(errors.Wrapf(cause, "call %s at %s", method, address), ErrUnreachable)
+}
+
+func (c *Client) finish(address string, from *peer, err error) error {
 	var remote rpc.ServerError
 	if err == nil || errors.As(err, &remote) {
 		return err
 	}
-	c.drop(address, peer)
+	c.drop(address, from)
 	return errors.Mark(err, ErrUnreachable)
 }
 
-func (c *Client) peer(ctx context.Context, address string) (*rpc.Client, error) {
+func (c *Client) connect(ctx context.Context, address string) (*peer, error) {
 	c.mu.Lock()
 	held := c.peers[address]
 	c.mu.Unlock()
@@ -78,45 +96,49 @@
 		return nil, err
 	}
 	counted := &countedConn{Conn: connection, sent: &c.sent}
-	peer := rpc.NewClientWithCodec(clientCodec{newCodec(counted, func(n int) { c.received.Add(int64(n)) })})
-	return c.keep(address, peer), nil
+	codec := clientCodec{newCodec(counted, func(n int) { c.received.Add(int64(n)) })}
+	return c.keep(address, &peer{rpc: rpc.NewClientWithCodec(codec)}), nil
 }
 
-// keep stores peer unless another call connected first.
-func (c *Client) keep(address string, peer *rpc.Client) *rpc.Client {
+// keep stores a connection unless another call connected first.
+func (c *Client) keep(address string, opened *peer) *peer {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.peers == nil {
-		c.peers = map[string]*rpc.Client{}
+		c.peers = map[string]*peer{}
 	}
 	if held := c.peers[address]; held != nil {
-		_ = peer.Close()
+		_ = opened.rpc.Close()
 		return held
 	}
-	c.peers[address] = peer
-	return peer
+	c.peers[address] = opened
+	return opened
 }
 
-func (c *Client) drop(address string, peer *rpc.Client) {
+func (c *Client) drop(address string, dropped *peer) {
 	c.mu.Lock()
-	if c.peers[address] == peer {
+	if c.peers[address] == dropped {
 		delete(c.peers, address)
 	}
 	c.mu.Unlock()
-	_ = peer.Close()
+	_ = dropped.rpc.Close()
 }
 
 // Close closes every connection.
 func (c *Client) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for address, peer := range c.peers {
-		_ = peer.Close()
+	for address, held := range c.peers {
+		_ = held.rpc.Close()
 		delete(c.peers, address)
 	}
 }
 
-// countedConn counts the bytes written.
+// writeTimeout bounds one write, since a peer that takes no bytes would block
+// its callers for good.
+const writeTimeout = 500 * time.Millisecond
+
+// countedConn counts the bytes written and bounds each write.
 type countedConn struct {
 	net.Conn
 	sent *atomic.Int64
@@ -124,6 +146,9 @@
 
 // Write implements net.Conn.
 func (c *countedConn) Write(data []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Write(data)
 	c.sent.Add(int64(n))
 	return n, err
--- /dev/null
+++ b/internal/control/client_test.go
@@ -0,0 +1,40 @@
+package control_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mimosaward/mimosaward/internal/control"
+	"github.com/mimosaward/mimosaward/internal/duty"
+)
+
+// A frozen peer takes no bytes at all. Several calls to it must all end soon
+// after their deadlines, though net/rpc itself knows none.
+func TestCallsToAFrozenPeerEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		client := &control.Client{Dial: func(context.Context, string) (net.Conn, error) { return near, nil }}
+		start := time.Now()
+		group := duty.NewGroup(t.Context())
+		for range 3 {
+			group.Go(func(ctx context.Context) {
+				ctx, cancel := context.WithTimeout(ctx, time.Second)
+				defer cancel()
+				if err := client.Call(ctx, "peer:81", "Echo.Call", 1, new(int)); !errors.Is(err, control.ErrUnreachable) {
+					t.Errorf("got %v, want ErrUnreachable", err)
+				}
+			})
+		}
+		group.Wait()
+		if taken := time.Since(start); taken > 2*time.Second {
+			t.Errorf("calls with a deadline of 1 s ended after %s", taken)
+		}
+		client.Close()
+		_ = far.Close()
+	})
+}
--- a/internal/roster/view.go
+++ b/internal/roster/view.go
@@ -63,10 +63,24 @@
 		}
 		next.instances[instance.Name] = instance
 	}
+	next.prune()
 	next.index()
 	return next
 }
 
+// goneKept is the number of list versions for which a record of a gone instance
+// is kept, so that deletions reach every process.
+const goneKept = 10_000
+
+// prune drops the records of instances that went long ago.
+func (v *View) prune() {
+	for name, instance := range v.instances {
+		if instance.Status == Gone && instance.Version+goneKept < v.version {
+			delete(v.instances, name)
+		}
+	}
+}
+
 func (v *View) index() {
 	v.byPool = map[string][]Instance{}
 	for _, instance := range v.instances {
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -148,16 +149,27 @@
 	}
 }
 
-// wait returns when the path is not frozen.
-func (n *Network) wait(on path) {
+// wait returns when the path is not frozen, or with an error at the deadline; a
+// zero deadline means none.
+func (n *Network) wait(on path, deadline time.Time) error {
+	var expired <-chan time.Time
+	if !deadline.IsZero() {
+		timer := time.NewTimer(max(time.Nanosecond, time.Until(deadline)))
+		defer timer.Stop()
+		expired = timer.C
+	}
 	for {
 		n.mu.Lock()
 		frozen, changed := n.frozen[on], n.changed
 		n.mu.Unlock()
 		if !frozen {
-			return
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-expired:
+			return os.ErrDeadlineExceeded
 		}
-		<-changed
 	}
 }
 
@@ -201,18 +213,58 @@
 	network *Network
 	path    path
 	control bool
+
+	mu            sync.Mutex
+	readDeadline  time.Time
+	writeDeadline time.Time
+}
+
+// SetDeadline implements net.Conn.
+func (c *connection) SetDeadline(at time.Time) error {
+	if err := c.SetReadDeadline(at); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(at)
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *connection) SetReadDeadline(at time.Time) error {
+	c.mu.Lock()
+	c.readDeadline = at
+	c.mu.Unlock()
+	return c.Conn.SetReadDeadline(at)
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *connection) SetWriteDeadline(at time.Time) error {
+	c.mu.Lock()
+	c.writeDeadline = at
+	c.mu.Unlock()
+	return c.Conn.SetWriteDeadline(at)
+}
+
+func (c *connection) deadlines() (read, write time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.readDeadline, c.writeDeadline
 }
 
 // Read implements net.Conn.
 func (c *connection) Read(buffer []byte) (int, error) {
 	n, err := c.Conn.Read(buffer)
-	c.network.wait(c.path)
+	deadline, _ := c.deadlines()
+	if frozen := c.network.wait(c.path, deadline); frozen != nil {
+		return 0, frozen
+	}
 	return n, err
 }
 
 // Write implements net.Conn.
 func (c *connection) Write(data []byte) (int, error) {
-	c.network.wait(c.path)
+	_, deadline := c.deadlines()
+	if err := c.network.wait(c.path, deadline); err != nil {
+		return 0, err
+	}
 	return c.Conn.Write(data)
 }
 
