--- a/Makefile
+++ b/Makefile
@@ -32,8 +32,13 @@
 	rmdir $(BIN)/tmp
 
 # Prints one JSON object a line for every figure.
+FIGURES := TestBurst|TestTickets|TestCosts|TestMemory|TestPrefixAffinity|TestZoneLeaves
+
 bench:
-	@go test ./internal/bench ./internal/system -run 'TestBurst|TestTickets|TestCosts|TestMemory|TestPrefixAffinity|TestZoneLeaves' -count=1 -timeout 60m -v -args -figures | grep -o '{"figure.*'
+	@go test -c -o $(BIN)/bench.test ./internal/bench
+	@go test -c -o $(BIN)/system.test ./internal/system
+	@cd internal/bench && $(BIN)/bench.test -test.run '$(FIGURES)' -test.v -figures | grep -o '{"figure.*'
+	@cd internal/system && $(BIN)/system.test -test.run '$(FIGURES)' -test.v -figures | grep -o '{"figure.*'
 
 # Runs the randomised runs: make soak SEED=7 STEPS=5000
 soak:
--- /dev/null
+++ b/internal/bench/burstbound_test.go
@@ -0,0 +1,74 @@
+package bench
+
+import (
+	"testing"
+	"testing/synctest"
+)
+
+func measureBurst(t *testing.T, c burstCase) burstFigure {
+	t.Helper()
+	var figure burstFigure
+	synctest.Test(t, func(t *testing.T) {
+		figure = newBurstBench(t, c).run(t)
+	})
+	printFigure(t, figure)
+	return figure
+}
+
+// checkBurst holds a burst against the bounds of the brief: every surviving
+// instance within the window, at most four copies from the origin, and at most
+// about one copy over each thin link.
+func checkBurst(t *testing.T, figure burstFigure) {
+	t.Helper()
+	if figure.Finished != figure.Survivors {
+		t.Errorf("%+v: %d of %d surviving instances have the whole set", figure, figure.Finished, figure.Survivors)
+	}
+	if figure.ReplicaSecondsAll > burstWindow.Seconds() {
+		t.Errorf("%+v: all replicas after %.0f s, bound %.0f s", figure, figure.ReplicaSecondsAll, burstWindow.Seconds())
+	}
+	if figure.OriginCopies > maxOriginCopies {
+		t.Errorf("%+v: %.2f copies from the origin, bound %d", figure, figure.OriginCopies, maxOriginCopies)
+	}
+	if figure.InterRegionCopies > maxInterRegionCopies {
+		t.Errorf("%+v: %.2f copies over a thin link, bound %.1f", figure, figure.InterRegionCopies, maxInterRegionCopies)
+	}
+}
+
+const (
+	maxOriginCopies      = 4
+	maxInterRegionCopies = 1.1
+)
+
+func TestBurst(t *testing.T) {
+	for _, instances := range []int{12, 48} {
+		for _, faults := range []bool{false, true} {
+			checkBurst(t, measureBurst(t, burstCase{policy: "striped", instances: instances, regions: 3, chunks: 192, faults: faults, seed: 7}))
+		}
+	}
+}
+
+// TestBurstPolicies compares the ways to spread weights side by side. A burst
+// that takes longer than twice the window counts as unfinished.
+func TestBurstPolicies(t *testing.T) {
+	if !*figures {
+		t.Skip("runs with -figures")
+	}
+	for _, instances := range []int{12, 48, 440} {
+		for _, faults := range []bool{false, true} {
+			for _, policy := range policies() {
+				if instances > maxBaselineInstances && policy.sources != nil {
+					continue
+				}
+				measureBurst(t, policy.with(burstCase{instances: instances, regions: 4, chunks: 512, faults: faults, seed: 7}))
+			}
+		}
+	}
+	for _, regions := range []int{1, 2, 3} {
+		for _, instances := range []int{12, 48, 440} {
+			checkBurst(t, measureBurst(t, burstCase{policy: "striped", instances: instances, regions: regions, chunks: 512, seed: 7}))
+		}
+	}
+}
+
+// maxBaselineInstances is the largest fleet on which the baselines run.
+const maxBaselineInstances = 48
--- a/internal/bench/costs_test.go
+++ b/internal/bench/costs_test.go
@@ -114,13 +114,13 @@
 	}
 }
 
-// echoArgs and echoReply are as large as a relay's usual messages.
-type echoArgs struct {
+// EchoArgs and EchoReply are as large as a relay's usual messages.
+type EchoArgs struct {
 	UpTo     int64
 	Prefixes []string
 }
 
-type echoReply struct {
+type EchoReply struct {
 	UpTo  int64
 	Zones map[string]time.Duration
 }
@@ -129,7 +129,7 @@
 type echo struct{}
 
 // Call implements the service.
-func (echo) Call(args *echoArgs, reply *echoReply) error {
+func (echo) Call(args *EchoArgs, reply *EchoReply) error {
 	reply.UpTo = args.UpTo
 	reply.Zones = map[string]time.Duration{"zone-0": 1, "zone-1": 2, "zone-2": 3, "zone-3": 4}
 	return nil
@@ -150,8 +150,8 @@
 	group.Go(func(ctx context.Context) { server.Run(ctx, listener) })
 	client := &control.Client{Dial: func(context.Context, string) (dialed, error) { return network.For("client").Dial("server:81") }}
 	for b.Loop() {
-		var reply echoReply
-		if err := client.Call(context.Background(), "server:81", "Echo.Call", &echoArgs{UpTo: 7, Prefixes: []string{"zone/a", "pool/b"}}, &reply); err != nil {
+		var reply EchoReply
+		if err := client.Call(context.Background(), "server:81", "Echo.Call", &EchoArgs{UpTo: 7, Prefixes: []string{"zone/a", "pool/b"}}, &reply); err != nil {
 			b.Fatal(err)
 		}
 	}
@@ -165,6 +165,9 @@
 func TestCosts(t *testing.T) {
 	for _, c := range costs() {
 		result := testing.Benchmark(c.run)
+		if result.N == 0 {
+			t.Errorf("%s did not run", c.name)
+		}
 		if allocations := result.AllocsPerOp(); allocations > c.maxAllocations {
 			t.Errorf("%s allocates %d times, bound %d", c.name, allocations, c.maxAllocations)
 		}
