End the demo at once when it is interrupted

Cause: an interrupt during a wait for a condition was noticed after up to 30 s, with 31 processes still running. Waits now end with the context.

--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -153,13 +153,13 @@
 }
 
 // startPlatform runs the fakes of the platform.
-func (c *cluster) startPlatform() error {
+func (c *cluster) startPlatform(ctx context.Context) error {
 	_, err := c.start("platform", "mimosaward-standin", "platform",
 		"--objects", c.objects, "--instances", c.instances, "--origin", c.origin, "--origin-rate", fmt.Sprint(originRate))
 	if err != nil {
 		return err
 	}
-	return c.await("the platform", func() bool {
+	return c.await(ctx, "the platform", func() bool {
 		status, _, err := c.call("GET", "http://"+c.origin+"/counts", nil)
 		return err == nil && status == 200
 	})
@@ -293,14 +293,16 @@
 	return json.Unmarshal(text, answer)
 }
 
-// await polls until the condition holds.
-func (c *cluster) await(what string, condition func() bool) error {
+// await polls until the condition holds or ctx ends.
+func (c *cluster) await(ctx context.Context, what string, condition func() bool) error {
 	deadline := time.Now().Add(readyTimeout)
 	for !condition() {
 		if time.Now().After(deadline) {
 			return errors.Newf("%s did not happen within %s", what, readyTimeout)
 		}
-		time.Sleep(pollInterval)
+		if !duty.Sleep(ctx, pollInterval) {
+			return errors.Wrap(ctx.Err(), what)
+		}
 	}
 	return nil
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -79,7 +79,7 @@
 			d.load.run(callers, draftsPlace, bookingPlace)
 			return nil
 		}},
-		{"roll out a second version under load", func(context.Context) error { return d.rollOut("v2") }},
+		{"roll out a second version under load", func(ctx context.Context) error { return d.rollOut(ctx, "v2") }},
 		{"take an availability zone out and bring it back", d.moveZone},
 		{"kill an entry and an agent", d.kill},
 		{"make the object API unavailable", d.outage},
@@ -102,8 +102,8 @@
 	return nil
 }
 
-func (d *Demo) start(context.Context) error {
-	if err := d.cluster.startPlatform(); err != nil {
+func (d *Demo) start(ctx context.Context) error {
+	if err := d.cluster.startPlatform(ctx); err != nil {
 		return err
 	}
 	places := d.Site.Places
@@ -122,7 +122,7 @@
 			return err
 		}
 	}
-	return d.cluster.await("readiness of every entry", func() bool {
+	return d.cluster.await(ctx, "readiness of every entry", func() bool {
 		for _, entry := range d.cluster.entries {
 			if status, _, err := d.cluster.call("GET", "http://"+entry.admin+"/readyz", nil); err != nil || status != 200 {
 				return false
@@ -149,7 +149,7 @@
 	return errors.Wrapf(err, "file ticket %s", name)
 }
 
-func (d *Demo) fileFirst(context.Context) error {
+func (d *Demo) fileFirst(ctx context.Context) error {
 	first := ticket.Ticket{Pools: []ticket.Pool{{Name: d.Site.Service, Kind: ticket.ServicePool}}}
 	for index, workspace := range d.Site.Workspaces {
 		first.Workspaces = append(first.Workspaces, ticket.Workspace{Name: workspace, Priority: index % (ticket.MaxPriority + 1), MaxShare: 60})
@@ -160,11 +160,11 @@
 	if err := d.file("first", first); err != nil {
 		return err
 	}
-	return d.rollOut("v1")
+	return d.rollOut(ctx, "v1")
 }
 
 // rollOut publishes a version, files its ticket and waits for every replica.
-func (d *Demo) rollOut(version string) error {
+func (d *Demo) rollOut(ctx context.Context, version string) error {
 	body, err := json.Marshal(map[string]any{"model": "draft", "version": version, "chunkBytes": chunkBytes, "totalBytes": setBytes})
 	if err != nil {
 		return err
@@ -192,7 +192,7 @@
 	}}}); err != nil {
 		return err
 	}
-	if err := d.cluster.await("all replicas of "+version, func() bool { return d.serving(published.Manifest.String()) }); err != nil {
+	if err := d.cluster.await(ctx, "all replicas of "+version, func() bool { return d.serving(published.Manifest.String()) }); err != nil {
 		return err
 	}
 	after, err := d.originBytes()
--- a/internal/demo/faults.go
+++ b/internal/demo/faults.go
@@ -33,7 +33,7 @@
 	if err := d.file("zone-in", ticket.Ticket{Zones: []ticket.Zone{{Name: zone, InService: true}}}); err != nil {
 		return err
 	}
-	return d.cluster.await("work in the zone that came back", func() bool {
+	return d.cluster.await(ctx, "work in the zone that came back", func() bool {
 		back, err := d.workIn(zone)
 		d.report.zoneBackSeconds = time.Since(start).Seconds()
 		return err == nil && back > after
