Give readers fewer children and send fewer ages

Cause: TestTickets at 240 processes in 8 zones failed its bound: a reader spent 6.2 KB/s on control, the budget is 3 KB/s. A reader had 8 children that are relays themselves and so pull every scope, and each reply carried the ages of 8 zones. Ruled out: the readers of other zones (2.5 calls a second).

Change: a reader has 3 children, other processes 8; the ages of zones are sent only while the object API's confirmation is older than 1 s.

--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -104,7 +104,7 @@
 	}
 	bytesRow("entry or agent, leaf", measured.LeafBytesPerSecond, m.leafBytes, "internal/relay, subscriptions by scope")
 	bytesRow("entry or agent, relay", measured.RelayBytesPerSecond, m.relayBytes, "internal/relay, fan-out of 8")
-	bytesRow("entry or agent, reader", measured.ReaderBytesPerSecond, m.readerBytes, "internal/relay, readers by rank")
+	bytesRow("entry or agent, reader", measured.ReaderBytesPerSecond, m.readerBytes, "internal/relay, readers by rank, fan-out of 3")
 	memory := func(size Size) float64 {
 		return m.memory["rosterInstance"]*size.Processes() + m.memory["scope"]*size.ScopesPerMember
 	}
--- a/internal/freshness/tracker.go
+++ b/internal/freshness/tracker.go
@@ -90,14 +90,21 @@
 	}
 }
 
+// quietAge is the age up to which a confirmation by the object API makes those
+// of the zones not worth sending.
+const quietAge = time.Second
+
 // Ages returns the confirmations for a receiver, leaving out those too old to
-// matter.
+// matter, and those of the zones while the object API confirms.
 func (t *Tracker) Ages(now time.Time) Ages {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	ages := Ages{Zones: make(map[string]time.Duration, len(t.zones))}
+	ages := Ages{Zones: map[string]time.Duration{}}
 	if age := now.Sub(t.store); !t.store.IsZero() && age <= MaxAge {
 		ages.StoreKnown, ages.Store = true, age
+		if age <= quietAge {
+			return ages
+		}
 	}
 	for zone, at := range t.zones {
 		if age := now.Sub(at); age <= MaxAge {
--- a/internal/relay/tree.go
+++ b/internal/relay/tree.go
@@ -14,7 +14,10 @@
 const (
 	// ReadersPerZone is the number of readers in each availability zone.
 	ReadersPerZone = 2
-	// FanOut is the number of children of a process in the tree.
+	// ReaderFanOut is the number of children of a reader, which also talks with
+	// the object API and the readers of other zones.
+	ReaderFanOut = 3
+	// FanOut is the number of children of any other process.
 	FanOut = 8
 )
 
@@ -39,8 +42,8 @@
 	if index < 0 {
 		return place{parents: readersExcept(view, self)}
 	}
-	preferred := (index - ReadersPerZone) / FanOut
-	firstChild := ReadersPerZone + index*FanOut
+	preferred := parentOf(index)
+	firstChild := firstBelowReaders + (index-ReadersPerZone)*FanOut
 	found := place{relays: firstChild < len(ranked)}
 	found.parents = append(found.parents, ranked[preferred])
 	for _, reader := range ranked[:min(ReadersPerZone, index)] {
@@ -56,6 +59,17 @@
 	return found
 }
 
+// firstBelowReaders is the first rank whose parent is not a reader.
+const firstBelowReaders = ReadersPerZone + ReadersPerZone*ReaderFanOut
+
+// parentOf returns the rank of the parent of a process that is not a reader.
+func parentOf(rank int) int {
+	if rank < firstBelowReaders {
+		return (rank - ReadersPerZone) / ReaderFanOut
+	}
+	return ReadersPerZone + (rank-firstBelowReaders)/FanOut
+}
+
 // rankZone orders the live instances of a zone.
 func rankZone(view *roster.View, zone string) []roster.Instance {
 	var members []roster.Instance
