Return children to their preferred parent

Cause: at 240 processes a reader still spent 5.5 KB/s with 3 children. While the fleet started, parents were incomplete for a moment, their children moved to the readers, and stayed there until the next change of the instance list. Ruled out: the vouching between readers and the size of tickets (2.5 calls a second; 96 processes had one relay child each and 1.8 KB/s).

Change: a child tries its preferred parent again every 10 s, with a call that ends after 300 ms.

--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -14,13 +14,15 @@
 const noBeat = -1
 
 // follow pulls from a parent while this process is not a reader. After a
-// failure it moves to the next parent; when the instance list changes it goes
-// back to the preferred one.
+// failure it moves to the next parent. When the instance list changes, and after
+// a while, it goes back to the preferred one, so that the readers do not keep
+// every process whose parent once failed.
 func (r *Relay) follow(ctx context.Context) {
 	beat := int64(noBeat)
 	var current string
 	choice := 0
 	version := int64(-1)
+	var preferredAt time.Time
 	for ctx.Err() == nil {
 		view := r.Roster.View()
 		at := placeOf(view, r.Self)
@@ -28,8 +30,8 @@
 			duty.Sleep(ctx, retryPause)
 			continue
 		}
-		if view.Version() != version {
-			version, choice = view.Version(), 0
+		if view.Version() != version || time.Since(preferredAt) > returnInterval {
+			version, choice, preferredAt = view.Version(), 0, time.Now()
 		}
 		parent := at.parents[choice%len(at.parents)]
 		if parent.Name != current {
@@ -49,7 +51,11 @@
 }
 
 func (r *Relay) pullParent(ctx context.Context, at place, parent roster.Instance, beat int64) (int64, error) {
-	reply, err := r.pull(ctx, parent, r.wanted(at), beat, pullWait, pullWait+pullSlack)
+	wait := pullWait
+	if beat == noBeat {
+		wait = 0
+	}
+	reply, err := r.pull(ctx, parent, r.wanted(at), beat, wait, wait+pullSlack)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -35,6 +35,9 @@
 	pullWait = 1200 * time.Millisecond
 	// pullSlack is added to the wait before a parent counts as unreachable.
 	pullSlack = 300 * time.Millisecond
+	// returnInterval is the time after which a child tries its preferred parent
+	// again.
+	returnInterval = 10 * time.Second
 	// minPullInterval bounds the pulls of a child whose parent answers at once.
 	minPullInterval = 50 * time.Millisecond
 	// vouchTimeout bounds a pull between readers.
