Work out the capacities from measured slopes

A program writes it from docs/measurements.jsonl; a test holds the page against the file.

A first version extrapolated a line through relays that had few children and others that had all, and gave 86 KB/s for a relay at the planned size; the number of children is bounded, so a full relay and the slope of its children are used now. A figure of 0 bytes for a scope was garbage of the measurement before; each runs alone and 0 fails now.

--- a/internal/bench/costs_test.go
+++ b/internal/bench/costs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"runtime"
 	"testing"
@@ -189,18 +190,43 @@
 	return max(after.HeapAlloc, before.HeapAlloc) - before.HeapAlloc, built
 }
 
+const (
+	listedInstances = 14200
+	filedScopes     = 4000
+)
+
+func buildRoster() any { return roster.NewView().With(instances(listedInstances), 1) }
+
+func buildScopes() any {
+	filed := &ticket.Ticket{Number: 1}
+	for index := range filedScopes {
+		filed.Pools = append(filed.Pools, ticket.Pool{Name: fmt.Sprint("pool-", index), Kind: ticket.ModelPool, Model: "draft", Version: "v1", Manifest: fmt.Sprintf("%064d", index)})
+	}
+	return (&state.Snapshot{}).With(state.FromTicket(filed), 1)
+}
+
+// TestMemory measures what one item of a process's state takes. Each build runs
+// alone, so that garbage of another does not count.
 func TestMemory(t *testing.T) {
-	const listed, scopes = 14200, 4000
-	used, kept := heapOf(func() any { return roster.NewView().With(instances(listed), 1) })
-	printFigure(t, memoryFigure{Figure: "memory", Name: "rosterInstance", Items: listed, BytesPerItem: float64(used) / listed})
-	runtime.KeepAlive(kept)
-	used, kept = heapOf(func() any {
-		filed := &ticket.Ticket{Number: 1}
-		for index := range scopes {
-			filed.Pools = append(filed.Pools, ticket.Pool{Name: fmt.Sprint("pool-", index), Kind: ticket.ModelPool, Model: "draft", Version: "v1", Manifest: fmt.Sprintf("%064d", index)})
+	for _, held := range []struct {
+		name  string
+		items int
+		build func() any
+	}{
+		{"rosterInstance", listedInstances, buildRoster},
+		{"scope", filedScopes, buildScopes},
+	} {
+		runtime.GC()
+		used, kept := heapOf(held.build)
+		if used == 0 {
+			t.Errorf("the heap of %s was not measured", held.name)
 		}
-		return (&state.Snapshot{}).With(state.FromTicket(filed), 1)
-	})
-	printFigure(t, memoryFigure{Figure: "memory", Name: "scope", Items: scopes, BytesPerItem: float64(used) / scopes})
-	runtime.KeepAlive(kept)
+		printFigure(t, memoryFigure{Figure: "memory", Name: held.name, Items: held.items, BytesPerItem: float64(used) / float64(held.items)})
+		runtime.KeepAlive(kept)
+	}
+	text, err := json.Marshal(instances(listedInstances))
+	if err != nil {
+		t.Fatal(err)
+	}
+	printFigure(t, memoryFigure{Figure: "memory", Name: "listRecord", Items: listedInstances, BytesPerItem: float64(len(text)) / listedInstances})
 }
--- a/internal/bench/tickets_test.go
+++ b/internal/bench/tickets_test.go
@@ -46,7 +46,6 @@
 	RelayBytesPerSecond   float64 `json:"relayBytesPerSecond"`
 	ReaderBytesPerSecond  float64 `json:"readerBytesPerSecond"`
 	WorstCallsPerSecond   float64 `json:"worstCallsPerSecond"`
-	ListBytesPerInstance  float64 `json:"listBytesPerInstance"`
 	StoreReadsAfterOutage float64 `json:"storeReadsAfterOutagePerSecond"`
 	StoreCallsRefused     int64   `json:"storeCallsRefused"`
 }
@@ -153,13 +152,9 @@
 func (f *fleet) measure(processes, zones int) ticketFigure {
 	figure := ticketFigure{Figure: "tickets", Processes: processes, Zones: zones, TicketsPerSecond: ticketsADay / 86400.0}
 	time.Sleep(warmUp)
-	joined := int64(0)
 	for _, m := range f.members {
-		received, _ := m.client.Bytes()
-		joined += received
 		m.before, m.calls = m.bytes(), m.client.Calls()
 	}
-	figure.ListBytesPerInstance = float64(joined) / float64(processes) / float64(processes)
 	before := f.objects.Counts()
 	start := time.Now()
 	var worst time.Duration
--- a/internal/capacity/cases.go
+++ b/internal/capacity/cases.go
@@ -39,12 +39,11 @@
 func (m *model) events() string {
 	planned := Planned()
 	text := "## Events at the planned size\n\n" + header("event", "figure", "worked out from", "carried by")
-	join := m.listBytes * planned.Processes()
-	text += row("one instance restarts", fmt.Sprintf("%s for the instance list", mebibytes(join)), "list bytes for each instance", "internal/relay: the first pull from a parent")
-	rack := join * planned.RackInstances / (fanOut + 1)
-	text += row("a rack restarts at once", fmt.Sprintf("%s from each of its parents, if they are spread evenly", mebibytes(rack)), "the same, 40 instances", "internal/relay; no pacing of joins yet")
-	restarts := planned.RestartsDay / 86400 * join / planned.Processes()
-	text += row("1,300 restarts in a day", fmt.Sprintf("%s bytes a second for each process on average", number(restarts)), "the same", "internal/relay")
+	join := m.memory["listRecord"] * planned.Processes()
+	text += row("one instance restarts", fmt.Sprintf("reads %s of instance list from the platform, once", mebibytes(join)), "list record, all instances", "internal/relay: a process that is not listed yet reads the list itself")
+	text += row("a rack restarts at once", fmt.Sprintf("%s from the platform", mebibytes(join*planned.RackInstances)), "the same, 40 instances", "internal/relay; no pacing of joins yet")
+	changes := m.memory["listRecord"] * (planned.RestartsDay * 2) / 86400
+	text += row("1,300 restarts in a day", fmt.Sprintf("%s bytes a second of list changes for each process", number(changes)), "two changes for each restart", "internal/relay")
 	text += row("a zone leaves at the peak", fmt.Sprintf("%s requests a second move to the other zones", number(planned.RequestsSecond/planned.Zones)), "requests by zones", "internal/routing, internal/admission; measured at 12 workers by TestZoneLeavesAndReturnsUnderLoad")
 	text += row("regions lose each other", "a zone outside the majority refuses new work after 2.5 s", "freshness.MaxAge", "internal/freshness")
 	text += row("the store is out for long", "serving goes on, tickets and keyed calls are refused", "TestStoreOutageKeepsServing, TestBookingRunsOnce", "internal/freshness, internal/idempotency")
--- a/internal/capacity/measurement.go
+++ b/internal/capacity/measurement.go
@@ -26,7 +26,6 @@
 	RelayBytesPerSecond   float64 `json:"relayBytesPerSecond"`
 	ReaderBytesPerSecond  float64 `json:"readerBytesPerSecond"`
 	WorstCallsPerSecond   float64 `json:"worstCallsPerSecond"`
-	ListBytesPerInstance  float64 `json:"listBytesPerInstance"`
 	StoreReadsAfterOutage float64 `json:"storeReadsAfterOutagePerSecond"`
 
 	Nanoseconds  float64 `json:"nanoseconds"`
@@ -82,7 +81,8 @@
 	value float64
 }
 
-// fit returns the least squares line through the points.
+// fit returns the least squares line through the points. A line that would fall
+// is flat at the mean, since no load falls with the size.
 func fit(points []point) line {
 	var n, sumX, sumY, sumXX, sumXY float64
 	fitted := line{}
@@ -100,6 +100,7 @@
 	if spread := n*sumXX - sumX*sumX; spread > 0 {
 		fitted.slope = (n*sumXY - sumX*sumY) / spread
 	}
+	fitted.slope = max(0, fitted.slope)
 	if n > 0 {
 		fitted.intercept = (sumY - fitted.slope*sumX) / n
 	}
--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -4,16 +4,17 @@
 
 // model holds the slopes fitted to the measurements.
 type model struct {
-	all         []Measurement
-	leafBytes   line
-	relayBytes  line
+	all       []Measurement
+	leafBytes line
+	// fullRelay is the bytes a second of a relay with all its children, at the
+	// largest fleet measured.
+	fullRelay   float64
 	readerBytes line
 	storeReads  line
 	storeWrites line
 	afterOutage line
 	calls       line
 	spread      line
-	listBytes   float64
 	costs       map[string]float64
 	memory      map[string]float64
 }
@@ -34,7 +35,11 @@
 		return fit(points)
 	}
 	m.leafBytes = fitTickets(func(one Measurement) float64 { return one.LeafBytesPerSecond })
-	m.relayBytes = fitTickets(func(one Measurement) float64 { return one.RelayBytesPerSecond })
+	for _, one := range all {
+		if one.Figure == "tickets" && one.Zones == fittedZones && one.Processes == m.leafBytes.largest {
+			m.fullRelay = one.RelayBytesPerSecond
+		}
+	}
 	m.readerBytes = fitTickets(func(one Measurement) float64 { return one.ReaderBytesPerSecond })
 	m.storeReads = fitTickets(func(one Measurement) float64 { return one.StoreReadsPerSecond })
 	m.storeWrites = fitTickets(func(one Measurement) float64 { return one.StoreWritesPerSecond })
@@ -47,8 +52,6 @@
 			m.costs[one.Name] = one.Nanoseconds / 1e9
 		case "memory":
 			m.memory[one.Name] = one.BytesPerItem
-		case "tickets":
-			m.listBytes = one.ListBytesPerInstance
 		}
 	}
 	return m
@@ -80,7 +83,6 @@
 		line line
 	}{
 		{"control bytes a second, leaf", m.leafBytes},
-		{"control bytes a second, relay", m.relayBytes},
 		{"control bytes a second, reader", m.readerBytes},
 		{"store reads a second", m.storeReads},
 		{"store writes a second", m.storeWrites},
@@ -98,13 +100,12 @@
 	text := "## Control, for each process\n\n"
 	text += header("role", "what", "today", "planned", "budget", "verdict", "carried by")
 	measured := m.today()
-	bytesRow := func(role string, now float64, fitted line, carried string) {
-		then := fitted.at(planned.Processes())
+	bytesRow := func(role string, now, then float64, carried string) {
 		text += row(role, "bytes a second", number(now), number(then), number(budgetBytesSecond), verdict(then, budgetBytesSecond), carried)
 	}
-	bytesRow("entry or agent, leaf", measured.LeafBytesPerSecond, m.leafBytes, "internal/relay, subscriptions by scope")
-	bytesRow("entry or agent, relay", measured.RelayBytesPerSecond, m.relayBytes, "internal/relay, fan-out of 8")
-	bytesRow("entry or agent, reader", measured.ReaderBytesPerSecond, m.readerBytes, "internal/relay, readers by rank, fan-out of 3")
+	bytesRow("entry or agent, leaf", measured.LeafBytesPerSecond, m.leafBytes.at(planned.Processes()), "internal/relay, subscriptions by scope")
+	bytesRow("entry or agent, relay", measured.RelayBytesPerSecond, m.relayAt(planned.Processes()), "internal/relay, fan-out of 8; a full relay as measured, and its children's slope")
+	bytesRow("entry or agent, reader", measured.ReaderBytesPerSecond, m.readerBytes.at(planned.Processes()), "internal/relay, readers by rank, fan-out of 3")
 	memory := func(size Size) float64 {
 		return m.memory["rosterInstance"]*size.Processes() + m.memory["scope"]*size.ScopesPerMember
 	}
@@ -116,6 +117,12 @@
 	return text + "\n"
 }
 
+// relayAt returns the bytes a second of a relay with all its children: a relay
+// does not get more children as the fleet grows, but each child grows.
+func (m *model) relayAt(processes float64) float64 {
+	return m.fullRelay + (fanOut+1)*m.leafBytes.slope*(processes-m.leafBytes.largest)
+}
+
 // platform lists the load on the platform.
 func (m *model) platform() string {
 	planned := Planned()
