Give small regions more workers for each stripe

Cause: 12 instances in 4 regions took 268 s although the thin links were used to 0.24. A region of 3 has 3 stripes with 2 workers each; one chunk over a thin link takes 128 slices of some 12 ms, and chunks that come through another region wait for it first. Ruled out: pacing (live delay p99 2.9 ms) and upload capacity (1.0 copies).

Change: a region shares 24 workers among its stripes, at least 2 each.

--- a/internal/exchange/fetcher.go
+++ b/internal/exchange/fetcher.go
@@ -47,8 +47,11 @@
 	// root for them is gone; takeOverRing bounds those that wait.
 	takeOverWorkers = 2
 	takeOverRing    = 64
-	// WorkersPerStripe is the number of chunks of a stripe fetched at a time.
-	WorkersPerStripe = 2
+	// minWorkersPerStripe is the least number of chunks of a stripe fetched at a
+	// time. A region with few stripes has more for each, up to totalWorkers, so
+	// that the latency of a thin link does not bound its roots.
+	minWorkersPerStripe = 2
+	totalWorkers        = 24
 	// sliceBytes is the size of one request over a thin link.
 	sliceBytes = 8 << 10
 )
@@ -111,7 +114,7 @@
 	group := duty.NewGroup(ctx)
 	burst.takeOvers.Go(ctx, burst)
 	for stripe := range burst.layout.Stripes() {
-		for range WorkersPerStripe {
+		for range max(minWorkersPerStripe, totalWorkers/burst.layout.Stripes()) {
 			group.Go(func(ctx context.Context) { burst.work(ctx, stripe) })
 		}
 	}
