--- a/internal/agent/roll.go
+++ b/internal/agent/roll.go
@@ -190,9 +190,6 @@
 	return true
 }
 
-// turnKey names the order of swaps; it differs for each set.
-func turnKey(set weights.Digest) string { return set.String() }
-
 // buffer joins the parts of a verified set for the engine.
 func buffer(verified *weights.Verified) (*bytes.Buffer, error) {
 	joined := bytes.NewBuffer(make([]byte, 0, verified.Bytes()))
--- a/internal/agent/turn.go
+++ b/internal/agent/turn.go
@@ -60,7 +60,7 @@
 
 // maySwap asks the nearest predecessor that is not gone.
 func (a *Agent) maySwap(ctx context.Context, goal wanted, failures map[string]int) bool {
-	before := rollout.Predecessors(turnKey(goal.set), a.base.Self.Name, a.members(), goal.pool.MaxSwapping)
+	before := rollout.Predecessors(goal.set.String(), a.base.Self.Name, a.members(), goal.pool.MaxSwapping)
 	for _, predecessor := range before {
 		if failures[predecessor.Name] >= goneAfter {
 			continue
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -29,12 +29,6 @@
 	sent     atomic.Int64
 }
 
-// DialTCP connects over TCP.
-func DialTCP(ctx context.Context, address string) (net.Conn, error) {
-	var dialer net.Dialer
-	return dialer.DialContext(ctx, "tcp", address)
-}
-
 // Calls returns the number of calls made.
 func (c *Client) Calls() int64 { return c.calls.Load() }
 
--- a/internal/entry/addresses.go
+++ b/internal/entry/addresses.go
@@ -102,12 +102,7 @@
 
 // peerEntries returns the entries that this one tells callers about.
 func (e *Entry) peerEntries() []roster.Instance {
-	var entries []roster.Instance
-	for _, instance := range e.base.Roster.View().Live() {
-		if instance.Role == roster.EntryRole {
-			entries = append(entries, instance)
-		}
-	}
+	entries := e.base.Roster.View().Entries()
 	if len(entries) <= maxPeers {
 		return entries
 	}
--- a/internal/exchange/burst.go
+++ b/internal/exchange/burst.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -21,12 +20,11 @@
 	layout   *swarm.Layout
 	suspects *suspects
 	start    time.Time
-	// takeOvers is set by prepare.
+	// takeOvers and queues are set by prepare.
 	takeOvers *takeOvers
+	queues    *stripeQueues
 
 	mu sync.Mutex
-	// queues holds the chunks of each stripe that nobody fetches yet.
-	queues [][]int
 	// interval is a moving average of the time that a chunk takes.
 	interval time.Duration
 }
@@ -35,62 +33,25 @@
 func (b *burst) prepare() {
 	b.start = time.Now()
 	b.takeOvers = newTakeOvers(b.manifest.Chunks())
-	b.queues = make([][]int, b.layout.Stripes())
+	b.queues = newStripeQueues(b.layout.Stripes())
 	for index, chunk := range b.manifest.Chunks() {
 		if !b.fetcher.Store.Has(chunk) {
-			stripe := b.layout.Stripe(index)
-			b.queues[stripe] = append(b.queues[stripe], index)
+			b.queues.add(b.layout.Stripe(index), index)
 		}
 	}
 }
 
-// next returns the next chunk of the stripe.
-func (b *burst) next(stripe int) (int, bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if len(b.queues[stripe]) == 0 {
-		return 0, false
-	}
-	index := b.queues[stripe][0]
-	b.queues[stripe] = b.queues[stripe][1:]
-	return index, true
-}
-
-// assist returns the last chunk of the longest queue if that stripe lags far
-// behind the others, for a worker whose own stripe is done. Left reports
-// whether any chunk waits.
-func (b *burst) assist() (index int, found, left bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	lengths := make([]int, 0, len(b.queues))
-	longest := 0
-	for stripe, queue := range b.queues {
-		lengths = append(lengths, len(queue))
-		if len(queue) > len(b.queues[longest]) {
-			longest = stripe
-		}
-	}
-	slices.Sort(lengths)
-	median := lengths[len(lengths)/2]
-	queue := b.queues[longest]
-	if len(queue) <= lagFactor*median+lagChunks {
-		return 0, false, len(queue) > 0
-	}
-	b.queues[longest] = queue[:len(queue)-1]
-	return queue[len(queue)-1], true, true
-}
-
 // work fetches the chunks of one stripe, then assists the others.
 func (b *burst) work(ctx context.Context, stripe int) {
 	for ctx.Err() == nil {
-		index, found := b.next(stripe)
+		index, found := b.queues.next(stripe)
 		if !found {
 			break
 		}
 		b.fetchChunk(ctx, index, false)
 	}
 	for ctx.Err() == nil {
-		index, found, left := b.assist()
+		index, found, left := b.queues.assist()
 		switch {
 		case found:
 			b.fetchChunk(ctx, index, true)
--- /dev/null
+++ b/internal/exchange/queues.go
@@ -0,0 +1,60 @@
+package exchange
+
+import (
+	"slices"
+	"sync"
+)
+
+// stripeQueues holds the chunks of each stripe that nobody fetches yet. It is
+// safe for concurrent use.
+type stripeQueues struct {
+	mu     sync.Mutex
+	chunks [][]int
+}
+
+func newStripeQueues(stripes int) *stripeQueues {
+	return &stripeQueues{chunks: make([][]int, stripes)}
+}
+
+// add appends a chunk to a stripe's queue.
+func (q *stripeQueues) add(stripe, index int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.chunks[stripe] = append(q.chunks[stripe], index)
+}
+
+// next returns the next chunk of the stripe.
+func (q *stripeQueues) next(stripe int) (int, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.chunks[stripe]) == 0 {
+		return 0, false
+	}
+	index := q.chunks[stripe][0]
+	q.chunks[stripe] = q.chunks[stripe][1:]
+	return index, true
+}
+
+// assist returns the last chunk of the longest queue if that stripe lags far
+// behind the others, for a worker whose own stripe is done. Left reports
+// whether any chunk waits.
+func (q *stripeQueues) assist() (index int, found, left bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	lengths := make([]int, 0, len(q.chunks))
+	longest := 0
+	for stripe, queue := range q.chunks {
+		lengths = append(lengths, len(queue))
+		if len(queue) > len(q.chunks[longest]) {
+			longest = stripe
+		}
+	}
+	slices.Sort(lengths)
+	median := lengths[len(lengths)/2]
+	queue := q.chunks[longest]
+	if len(queue) <= lagFactor*median+lagChunks {
+		return 0, false, len(queue) > 0
+	}
+	q.chunks[longest] = queue[:len(queue)-1]
+	return queue[len(queue)-1], true, true
+}
--- a/internal/idempotency/claim.go
+++ b/internal/idempotency/claim.go
@@ -1,10 +1,6 @@
 package idempotency
 
-import (
-	"time"
-
-	"github.com/cockroachdb/errors"
-)
+import "time"
 
 // Verdict says what an attempt may do.
 type Verdict string
@@ -23,9 +19,6 @@
 	Unavailable Verdict = "unavailable"
 )
 
-// ErrWrongOwner tells a caller that another process owns the key's range.
-var ErrWrongOwner = errors.New("another process owns the range of the key")
-
 // Claim asks to run one attempt of a call.
 type Claim struct {
 	Key     string
--- a/internal/idempotency/claims.go
+++ b/internal/idempotency/claims.go
@@ -57,13 +57,7 @@
 // owners returns the entries that write the range of the key, the preferred
 // one first.
 func (c *Claims) owners(key string) []roster.Instance {
-	var entries []roster.Instance
-	for _, instance := range c.Roster.View().Live() {
-		if instance.Role == roster.EntryRole {
-			entries = append(entries, instance)
-		}
-	}
-	ranked := roster.Rank("keys/"+strconv.Itoa(RangeOf(key)), entries)
+	ranked := roster.Rank("keys/"+strconv.Itoa(RangeOf(key)), c.Roster.View().Entries())
 	return ranked[:min(ownerTries, len(ranked))]
 }
 
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -34,17 +34,3 @@
 		return none, ctx.Err()
 	}
 }
-
-// TryTake returns the next item if one is waiting.
-func (r *Ring[T]) TryTake() (T, bool) {
-	select {
-	case item := <-r.slots:
-		return item, true
-	default:
-		var none T
-		return none, false
-	}
-}
-
-// Len returns the number of waiting items.
-func (r *Ring[T]) Len() int { return len(r.slots) }
--- a/internal/roster/view.go
+++ b/internal/roster/view.go
@@ -38,6 +38,17 @@
 // change it.
 func (v *View) Pool(name string) []Instance { return v.byPool[name] }
 
+// Entries returns the live entries, ordered by name.
+func (v *View) Entries() []Instance {
+	var entries []Instance
+	for _, instance := range v.live {
+		if instance.Role == EntryRole {
+			entries = append(entries, instance)
+		}
+	}
+	return entries
+}
+
 // ChangedSince returns the records that changed after version.
 func (v *View) ChangedSince(version int64) []Instance {
 	var changed []Instance
