Make the test of racing operators strict

Cause: it accepted two winners, since one operator might have filed before the other read. Both now read first: exactly one wins and the other gets a RaceError with the winner's name.

--- a/internal/filing/desk_test.go
+++ b/internal/filing/desk_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
@@ -52,9 +53,12 @@
 	})
 }
 
+// Both operators read the store before either files: one wins, and the other is
+// told who did.
 func TestRaceOnOneScopeHasOneWinner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		objects := standin.NewObjectStore()
+		objects.SetFaults(standin.ObjectFaults{Slow: 10 * time.Millisecond})
 		results := make([]error, 2)
 		group := duty.NewGroup(t.Context())
 		for index := range results {
@@ -63,12 +67,14 @@
 			})
 		}
 		group.Wait()
-		var race *filing.RaceError
-		first, second := errors.As(results[0], &race), errors.As(results[1], &race)
-		// If one operator read the store after the other had filed, there was
-		// no race and both tickets stand.
-		if first && second {
-			t.Errorf("both operators lost: %v, %v", results[0], results[1])
+		winner := 0
+		if results[0] != nil {
+			winner = 1
+		}
+		want := &filing.RaceError{Scope: ticket.ZoneScope("a"), Number: 1, Operator: fmt.Sprint("operator-", winner)}
+		var got *filing.RaceError
+		if results[winner] != nil || !errors.As(results[1-winner], &got) || !cmp.Equal(want, got) {
+			t.Errorf("got %v, want one nil and %v", results, want)
 		}
 	})
 }
