--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -28,7 +28,8 @@
 entries and 15 workers in 3 zones.
 
 The program "mimosaward-capacity" writes this page from docs/measurements.jsonl,
-which "make bench" printed; a test holds the page against it. No figure is typed
+whose lines the tests behind "make bench" printed, some of them run one by one; a
+test holds the page against it. No figure is typed
 by hand. Run "make capacity" after new measurements.
 
 `
