Keep idempotency keys in a head and sealed segments

Its bound of 5,000 keys did not count the answers that it keeps: with answers of 2 KiB the object passed the object API's 1 MiB after 400 keys, and every further call of that range was refused for two hours. Found by a test of 6,000 keys in a range. A second fault beside it: a claim that was stored although its answer was lost kept its key "outcome unknown" for good, after the caller had been told "not run".

Ruled out: dropping answers earlier (the bound would only move to 5,000 keys, 44 keyed calls a second); an object for each minute (64 x 120 objects, all of them read at each lookup). Now only the attempt itself releases it, and a release that comes before its claim is kept.

Without the release the test of it fails.

The stand-in of the object API and its client learn to delete.

--- a/internal/capacity/cases.go
+++ b/internal/capacity/cases.go
@@ -1,6 +1,10 @@
 package capacity
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/mimosaward/mimosaward/internal/idempotency"
+)
 
 // requests lists the cost of requests, which is not part of the budget for
 // control.
@@ -19,6 +23,22 @@
 	return text + "\n"
 }
 
+// keys lists what the journals of idempotency keys need.
+func (m *model) keys() string {
+	planned := Planned()
+	const hashBytes = 16
+	rangeSecond := planned.KeyedSecond / idempotency.Ranges
+	held := rangeSecond * idempotency.Retention.Seconds()
+	text := "## Idempotency keys\n\n"
+	text += fmt.Sprintf("For one of %d ranges, at %s keyed calls a second in all for as long as keys are\nremembered. The users give no rate; this one is assumed. Measured by TestCostsOfKeys\nfrom %s to %s keys in a range.\n\n", idempotency.Ranges, number(planned.KeyedSecond), number(m.keyBytes.smallest), number(m.keyBytes.largest))
+	text += header("what", "at the assumed rate", "worked out from", "carried by")
+	text += row("keys remembered", number(held), "rate and retention", "internal/idempotency: a head and sealed segments")
+	text += row("heap of the owner", mebibytes(held*hashBytes), "16 bytes for each key", "internal/idempotency: segment index")
+	text += row("bytes a second written", number(rangeSecond*m.keyBytes.at(m.keyBytes.largest)), "bytes for each key at the largest history measured, 100 keys in a write", "internal/idempotency: batches")
+	text += row("reads when another process takes over", number(m.takeover.at(held)), "slope of the reads", "internal/idempotency: 8 at a time")
+	return text + "\n"
+}
+
 // bursts lists the measured bursts of the chosen way.
 func (m *model) bursts() string {
 	text := "## Weights\n\nMeasured bursts of the chosen way (TestBurstPolicies): a set that the origin's\nlink carries four times in 300 s and an instance's link twice, thin links of\n32 Mbit/s of which live traffic takes 30%. Faults: 5% of the instances die, 1%\nof the chunks are damaged, one thin link stalls for 30 s.\n\n"
--- a/internal/capacity/measurement.go
+++ b/internal/capacity/measurement.go
@@ -28,6 +28,11 @@
 	WorstCallsPerSecond   float64 `json:"worstCallsPerSecond"`
 	StoreReadsAfterOutage float64 `json:"storeReadsAfterOutagePerSecond"`
 
+	Keys          float64 `json:"keys"`
+	WritesPerKey  float64 `json:"writesPerKey"`
+	BytesPerKey   float64 `json:"bytesPerKey"`
+	TakeoverReads float64 `json:"takeoverReads"`
+
 	Nanoseconds  float64 `json:"nanoseconds"`
 	BytesPerItem float64 `json:"bytesPerItem"`
 
--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -15,8 +15,12 @@
 	afterOutage line
 	calls       line
 	spread      line
-	costs       map[string]float64
-	memory      map[string]float64
+	// keyBytes and takeover are what the history of one range of
+	// idempotency keys costs.
+	keyBytes line
+	takeover line
+	costs    map[string]float64
+	memory   map[string]float64
 }
 
 // fittedZones is the number of zones of the fleets that the lines are fitted
@@ -46,6 +50,18 @@
 	m.afterOutage = fitTickets(func(one Measurement) float64 { return one.StoreReadsAfterOutage })
 	m.calls = fitTickets(func(one Measurement) float64 { return one.WorstCallsPerSecond })
 	m.spread = fitTickets(func(one Measurement) float64 { return one.SecondsToEverywhere })
+	fitKeys := func(value func(Measurement) float64) line {
+		var points []point
+		for _, one := range all {
+			if one.Figure == "idempotencyJournal" {
+				points = append(points, point{size: one.Keys, value: value(one)})
+			}
+		}
+		return fit(points)
+	}
+	m.keyBytes = fitKeys(func(one Measurement) float64 { return one.BytesPerKey })
+
+	m.takeover = fitKeys(func(one Measurement) float64 { return one.TakeoverReads })
 	for _, one := range all {
 		switch one.Figure {
 		case "cost":
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -14,6 +14,7 @@
 	page.WriteString(m.roles())
 	page.WriteString(m.platform())
 	page.WriteString(m.requests())
+	page.WriteString(m.keys())
 	page.WriteString(m.bursts())
 	page.WriteString(m.events())
 	page.WriteString(limits)
@@ -47,10 +48,8 @@
 - The checkpoint is one object of at most 1 MiB. With the measured size of a
   scope it holds some thousands of scopes; it is not split yet.
 - Filed tickets stay in the object API for "ticket show"; nothing deletes old ones.
-- The journals of idempotency keys are rewritten whole. The bound of 4 writes a
-  second for each range limits keyed calls to what fits 64 journals of 5,000
-  keys in their retention of 2 hours, about 44 calls a second. At the planned
-  size this is too little: journals need segments.
+- A process that takes over a range of idempotency keys reads its segments first;
+  calls of that range are refused "not run" meanwhile.
 `
 
 // row writes one table row.
--- /dev/null
+++ b/internal/idempotency/batch.go
@@ -0,0 +1,144 @@
+package idempotency
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mimosaward/mimosaward/internal/platform"
+)
+
+// batch applies claims and updates to a copy of a range's head. Nothing of it
+// counts before the copy was stored.
+type batch struct {
+	head     journal
+	segments *segmentIndex
+	now      time.Time
+	changed  bool
+}
+
+// newBatch copies the head that was stored with the version. A full head is
+// sealed first, so that the copy has room.
+func newBatch(ctx context.Context, head *journal, version int64, segments *segmentIndex) (*batch, error) {
+	b := &batch{
+		head:     journal{Entries: maps.Clone(head.Entries), Segments: slices.Clone(head.Segments)},
+		segments: segments, now: time.Now(),
+	}
+	if head.full() && len(head.Segments) < maxSegments {
+		if err := segments.seal(ctx, version, head.Entries); err != nil {
+			return nil, err
+		}
+		b.head.Segments = append(b.head.Segments, segment{ID: version, Newest: head.newest()})
+		clear(b.head.Entries)
+		b.changed = true
+	}
+	b.head.prune(b.now)
+	return b, b.deleteExpired(ctx)
+}
+
+// deleteExpired deletes the objects of segments past their retention.
+func (b *batch) deleteExpired(ctx context.Context) error {
+	for len(b.head.Segments) > 0 && b.head.Segments[0].deletable(b.now) {
+		err := b.segments.remove(ctx, b.head.Segments[0].ID)
+		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+			return err
+		}
+		b.head.Segments = b.head.Segments[1:]
+		b.changed = true
+	}
+	return nil
+}
+
+// fill applies the updates, decides the claims, and applies the updates again:
+// an attempt may have been given up before its claim was decided.
+func (b *batch) fill(ctx context.Context, claims []*pendingClaim, updates []Update) error {
+	if err := b.apply(ctx, updates); err != nil {
+		return err
+	}
+	for _, pending := range claims {
+		decision, err := b.decide(ctx, pending.claim)
+		if err != nil {
+			return err
+		}
+		pending.decision = decision
+	}
+	return b.apply(ctx, updates)
+}
+
+// lookup returns the newest entry of a key.
+func (b *batch) lookup(ctx context.Context, key keyHash) (Entry, bool, error) {
+	if held, found := b.head.Entries[key]; found {
+		return held, true, nil
+	}
+	return b.segments.find(ctx, b.head.Segments, key)
+}
+
+func (b *batch) set(key keyHash, entry Entry) {
+	b.head.Entries[key] = entry
+	b.changed = true
+}
+
+// decide gives the verdict on a claim and records one that may run.
+func (b *batch) decide(ctx context.Context, claim Claim) (Decision, error) {
+	key := hashKey(claim.Key)
+	held, found, err := b.lookup(ctx, key)
+	switch {
+	case err != nil:
+		return Decision{}, err
+	case found && held.Status == Released && held.Attempt == claim.Attempt:
+		// The attempt was given up before this claim of it was decided.
+		return Decision{Verdict: Unavailable}, nil
+	case found && held.Status == Released:
+		return b.grant(key, claim), nil
+	case found && held.Body != claim.Body:
+		return Decision{Verdict: Mismatch}, nil
+	case found && held.Status == Done:
+		return Decision{Verdict: Repeated, Result: held.Result}, nil
+	case found && held.Status == Claimed && held.Attempt == claim.Attempt:
+		return Decision{Verdict: Run}, nil
+	case found && held.Status == Claimed:
+		return Decision{Verdict: Unknown}, nil
+	}
+	return b.grant(key, claim), nil
+}
+
+// grant lets the attempt run, if the journal has room.
+func (b *batch) grant(key keyHash, claim Claim) Decision {
+	if b.head.full() && len(b.head.Segments) >= maxSegments {
+		return Decision{Verdict: Unavailable}
+	}
+	b.set(key, Entry{Attempt: claim.Attempt, Body: claim.Body, Status: Claimed, At: b.now})
+	return Decision{Verdict: Run}
+}
+
+// apply records how attempts ended. Only the attempt that holds a key may
+// change it. A release of a claim that is not stored is kept too, since the claim
+// may still arrive.
+func (b *batch) apply(ctx context.Context, updates []Update) error {
+	for _, update := range updates {
+		key := hashKey(update.Key)
+		held, found, err := b.lookup(ctx, key)
+		if err != nil {
+			return err
+		}
+		switch {
+		case !found && update.Status == Released:
+			b.set(key, Entry{Attempt: update.Attempt, Status: Released, At: b.now})
+		case found && held.Attempt == update.Attempt && held.Status == Claimed:
+			held.Status, held.Result = update.Status, update.Result.bounded()
+			b.set(key, held)
+		}
+	}
+	return nil
+}
+
+// bounded returns the result without its body if that is too large to keep.
+func (r *Result) bounded() *Result {
+	if r == nil || len(r.Body)+len(r.ContentType) <= maxResultBytes {
+		return r
+	}
+	return &Result{Status: r.Status}
+}
--- a/internal/idempotency/claims.go
+++ b/internal/idempotency/claims.go
@@ -63,21 +63,34 @@
 
 // Claim asks the range's owner to store the claim. If no owner answers, this
 // process stores it itself; the journal's version keeps that safe, and an
-// attempt recognizes a claim that an unreachable owner did store.
+// attempt recognizes a claim that an unreachable owner did store. If the verdict
+// is Unavailable the attempt is given up for good, and its claim released.
 func (c *Claims) Claim(ctx context.Context, claim Claim) Decision {
+	release := &Update{Key: claim.Key, Attempt: claim.Attempt, Status: Released}
 	for _, owner := range c.owners(claim.Key) {
 		if owner.Name == c.Self.Name {
 			break
 		}
-		callCtx, cancel := context.WithTimeout(ctx, ownerTimeout)
 		var decision Decision
-		err := c.Control.Call(callCtx, owner.ControlAddress, "Claims.Claim", &claim, &decision)
-		cancel()
-		if err == nil {
-			return decision
+		if err := c.call(ctx, owner, "Claims.Claim", &claim, &decision); err != nil {
+			continue
 		}
+		if decision.Verdict == Unavailable {
+			_ = c.call(ctx, owner, "Claims.Update", release, &struct{}{})
+		}
+		return decision
+	}
+	decision := c.Writer.Claim(ctx, claim)
+	if decision.Verdict == Unavailable {
+		c.Writer.Update(*release)
 	}
-	return c.Writer.Claim(ctx, claim)
+	return decision
+}
+
+func (c *Claims) call(ctx context.Context, owner roster.Instance, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	return c.Control.Call(ctx, owner.ControlAddress, method, args, reply)
 }
 
 // Update tells the range's owner how an attempt ended.
@@ -86,10 +99,7 @@
 		if owner.Name == c.Self.Name {
 			break
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), ownerTimeout)
-		err := c.Control.Call(ctx, owner.ControlAddress, "Claims.Update", &update, &struct{}{})
-		cancel()
-		if err == nil {
+		if c.call(context.Background(), owner, "Claims.Update", &update, &struct{}{}) == nil {
 			return
 		}
 	}
--- a/internal/idempotency/journal.go
+++ b/internal/idempotency/journal.go
@@ -1,20 +1,24 @@
 // Package idempotency decides which one attempt of a call with an idempotency
 // key may run.
 //
-// Keys are dealt to ranges, and each range has a journal object in the object
-// API. An attempt may run only after its claim was stored by a conditional
-// update of the journal, so two processes can never both let a key run. One
-// process writes the claims of a range for all others, in batches; if two
-// believe to do so, the conditional update still decides.
+// Keys are dealt to ranges, and each range has a journal in the object API: a
+// head object with the newest keys, and sealed segments with the older ones. An
+// attempt may run only after its claim was stored by a conditional update of
+// the head, so two processes can never both let a key run. One process writes
+// the claims of a range for all others, in batches; if two believe to do so, the
+// conditional update still decides.
 package idempotency
 
 import (
+	"encoding/base64"
 	"encoding/hex"
 	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
+	"github.com/mimosaward/mimosaward/internal/size"
 	"github.com/mimosaward/mimosaward/internal/weights"
 )
 
@@ -23,13 +27,40 @@
 	Ranges = 64
 	// Retention is how long a key is remembered.
 	Retention = 2 * time.Hour
-	// maxJournalEntries keeps a journal below the object API's value size.
-	maxJournalEntries = 5000
+	// sealBytes is the size of a head from which it is sealed as a segment.
+	sealBytes = 128 * size.KiB
+	// maxSegments bounds the list of segments in the head.
+	maxSegments = 4096
+	// clockSkew is the largest difference between the clocks of two processes.
+	// A segment is deleted that much later than it may be missing.
+	clockSkew = time.Minute
 	// maxResultBytes is the largest answer that is kept for repeated calls.
 	maxResultBytes = 2 << 10
-	keyBytes       = 16
+	// entryBytes is the size of an encoded entry without its answer.
+	entryBytes = 200
 )
 
+// keyHash identifies a key in a journal. Callers choose keys, so the hash is a
+// strong one.
+type keyHash [16]byte
+
+func hashKey(key string) keyHash {
+	digest := weights.Sum([]byte(key))
+	return keyHash(digest[:len(keyHash{})])
+}
+
+// MarshalText writes the hash as hexadecimal digits.
+func (h keyHash) MarshalText() ([]byte, error) { return hex.AppendEncode(nil, h[:]), nil }
+
+// UnmarshalText reads what MarshalText wrote.
+func (h *keyHash) UnmarshalText(text []byte) error {
+	if len(text) != hex.EncodedLen(len(h)) {
+		return errors.Newf("key hash %q has %d digits, want %d", text, len(text), hex.EncodedLen(len(h)))
+	}
+	_, err := hex.Decode(h[:], text)
+	return errors.Wrapf(err, "decode key hash %q", text)
+}
+
 // Status says how far an attempt is.
 type Status string
 
@@ -59,29 +90,70 @@
 	Result  *Result   `json:"result,omitempty"`
 }
 
-// journal is the object of one range.
+// encodedBytes estimates the size of the entry in its object.
+func (e Entry) encodedBytes() size.Bytes {
+	if e.Result == nil {
+		return entryBytes
+	}
+	return entryBytes + size.Bytes(len(e.Result.ContentType)+base64.StdEncoding.EncodedLen(len(e.Result.Body)))
+}
+
+// journal is the head object of one range. An entry of the head replaces those
+// of the same key in segments, and one of a later segment those of earlier ones.
 type journal struct {
-	Entries map[string]Entry `json:"entries"`
+	Entries map[keyHash]Entry `json:"entries"`
+	// Segments are in the order in which they were sealed.
+	Segments []segment `json:"segments,omitempty"`
+}
+
+// segment names an object with older entries, which never changes.
+type segment struct {
+	// ID is the version of the head that was sealed. The entries of a version
+	// are always the same, so two processes that seal it write the same object.
+	ID int64 `json:"id"`
+	// Newest is when the newest of its keys was claimed.
+	Newest time.Time `json:"newest"`
 }
 
 // RangeOf returns the range of a key.
 func RangeOf(key string) int { return int(xxhash.Sum64String(key) % Ranges) }
 
-func journalKey(index int) string { return fmt.Sprintf("keys/%03d", index) }
+func headKey(index int) string { return fmt.Sprintf("keys/%03d", index) }
 
-// hashKey shortens a key; callers choose keys, so the hash is a strong one.
-func hashKey(key string) string {
-	digest := weights.Sum([]byte(key))
-	return hex.EncodeToString(digest[:keyBytes])
+func segmentKey(index int, id int64) string { return fmt.Sprintf("keys/%03d/%d", index, id) }
+
+// full reports whether the head must be sealed before it takes more.
+func (j *journal) full() bool {
+	var total size.Bytes
+	for _, entry := range j.Entries {
+		total += entry.encodedBytes()
+	}
+	return total >= sealBytes
 }
 
-// prune drops entries past the retention and reports whether there is room
-// for more.
-func (j *journal) prune(now time.Time) bool {
+// newest returns when the newest key of the head was claimed.
+func (j *journal) newest() time.Time {
+	var newest time.Time
+	for _, entry := range j.Entries {
+		if entry.At.After(newest) {
+			newest = entry.At
+		}
+	}
+	return newest
+}
+
+// prune drops the entries of the head that are past the retention.
+func (j *journal) prune(now time.Time) {
 	for key, entry := range j.Entries {
 		if now.Sub(entry.At) > Retention {
 			delete(j.Entries, key)
 		}
 	}
-	return len(j.Entries) < maxJournalEntries
 }
+
+// expired reports whether every key of the segment is past the retention.
+func (s segment) expired(now time.Time) bool { return now.Sub(s.Newest) > Retention }
+
+// deletable reports whether the segment is expired by the clock of every
+// process.
+func (s segment) deletable(now time.Time) bool { return now.Sub(s.Newest) > Retention+clockSkew }
--- a/internal/platform/objectapi.go
+++ b/internal/platform/objectapi.go
@@ -89,6 +89,15 @@
 	return stored.Version, errors.Wrapf(err, "put object %s", key)
 }
 
+// Delete removes an object that has the version. It returns ErrNotFound,
+// ErrConflict, or ErrUnavailable, after which the object may still be gone.
+func (o *ObjectAPI) Delete(ctx context.Context, key string, ifVersion int64) error {
+	o.writes.Add(1)
+	var removed Object
+	err := o.call(ctx, "DELETE", fmt.Sprintf("/objects/%s?ifVersion=%d", key, ifVersion), nil, &removed)
+	return errors.Wrapf(err, "delete object %s", key)
+}
+
 // List returns the objects below prefix whose keys are greater than after.
 func (o *ObjectAPI) List(ctx context.Context, prefix, after string) (Page, error) {
 	o.reads.Add(1)
--- a/internal/standin/objectstore.go
+++ b/internal/standin/objectstore.go
@@ -86,6 +86,13 @@
 	return s.counts
 }
 
+// Stored returns the number of objects below prefix.
+func (s *ObjectStore) Stored(prefix string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.matching(prefix, "", 0))
+}
+
 // HTTP serves one exchange of the object API's protocol in the caller's
 // process; it is a platform.HTTPFunc.
 func (s *ObjectStore) HTTP(ctx context.Context, method, address string, body []byte) (int, []byte, error) {
@@ -141,7 +148,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	limiter, count := s.reads, &s.counts.Reads
-	if method == "PUT" {
+	if method != "GET" {
 		limiter, count = s.writes, &s.counts.Writes
 	}
 	if !limiter.Allow() {
@@ -160,6 +167,8 @@
 		return s.get(key)
 	case method == "PUT" && isObject:
 		return s.put(key, query.Get("ifVersion"), body)
+	case method == "DELETE" && isObject:
+		return s.remove(key, query.Get("ifVersion"))
 	case method == "GET" && address.Path == "/objects":
 		return s.list(query.Get("prefix"), query.Get("after"))
 	case method == "GET" && address.Path == "/watch":
@@ -201,6 +210,20 @@
 	return encode(stored)
 }
 
+func (s *ObjectStore) remove(key, ifVersion string) (int, []byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held, found := s.objects[key]
+	switch {
+	case !found:
+		return 404, []byte("no such object"), nil
+	case ifVersion != strconv.FormatInt(held.Version, 10):
+		return 409, fmt.Appendf(nil, "version is %d", held.Version), nil
+	}
+	delete(s.objects, key)
+	return encode(platform.Object{Key: key})
+}
+
 func (s *ObjectStore) list(prefix, after string) (int, []byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
