Let a new reader vouch only after it settled and caught up

Cause: a reader counted as caught up for good once it had been fresh at any time since its start. A process that had been a reader before, missed a ticket as an ordinary member, and became a reader again when the others died, vouched for its zone at once. Together with one more zone that had missed the ticket this made a majority, and a zone that an accepted ticket had taken out served drafts.

Ruled out: counting acknowledgements by instance (every process would have to learn all of them); vouching only while all readers of the zone answer (one dead reader would silence its zone while the instance list is out).

Before: TestNewReadersDoNotVouchForWhatTheyMissed got 20 drafts answered by the zone out of service in 10 s. After: none; the tests of tickets, zones, restarts and outages pass. Broken builds seen to fail: the seat is kept when the process is no reader any more; the own zone counts for catching up.

Conclusion: a reader vouches 5 s after it became one, once the object API or enough other zones confirmed what it holds; acknowledgements wait while the instance list cannot be read. What remains open is in docs/design/tickets.md.

--- a/internal/freshness/tracker.go
+++ b/internal/freshness/tracker.go
@@ -133,6 +133,26 @@
 	return Stale
 }
 
+// CaughtUp reports whether the state held includes every ticket that was accepted
+// up to the given time, because the object API confirmed it since then, or other
+// zones did. The own zone does not count, since all that knew its acknowledgements
+// may be gone; so many others must vouch that every majority, without the own
+// zone, has one of them.
+func (t *Tracker) CaughtUp(own string, zones []string, since time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.store.Before(since) {
+		return true
+	}
+	vouching := 0
+	for _, zone := range zones {
+		if at, known := t.zones[zone]; known && zone != own && !at.Before(since) {
+			vouching++
+		}
+	}
+	return vouching >= len(zones)-len(zones)/2
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/freshness/tracker_test.go
+++ b/internal/freshness/tracker_test.go
@@ -42,3 +42,30 @@
 		t.Errorf("verdict %v, want stale", got)
 	}
 }
+
+// Whatever majority accepted a ticket, a reader that caught up with other zones
+// has heard from one of them, also if its own zone was in that majority.
+func TestCaughtUpMeetsEveryMajority(t *testing.T) {
+	all := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+	for count := 1; count <= len(all); count++ {
+		zones := all[:count]
+		for vouching := range 1 << count {
+			tracker := freshness.NewTracker()
+			now := time.Now()
+			tracker.ConfirmZone(zones[0], now)
+			silent := 1
+			for index, zone := range zones[1:] {
+				if vouching&(2<<index) != 0 {
+					tracker.ConfirmZone(zone, now)
+				} else {
+					silent++
+				}
+			}
+			// The own zone and the silent ones may hold a ticket that the others miss.
+			missed := 2*silent > count
+			if tracker.CaughtUp(zones[0], zones, now) && missed {
+				t.Errorf("%d zones, vouching %b: caught up, though a majority may know more", count, vouching)
+			}
+		}
+	}
+}
--- a/internal/relay/reader.go
+++ b/internal/relay/reader.go
@@ -10,7 +10,6 @@
 	"github.com/mimosaward/mimosaward/internal/duty"
 	"github.com/mimosaward/mimosaward/internal/event"
 	"github.com/mimosaward/mimosaward/internal/filing"
-	"github.com/mimosaward/mimosaward/internal/freshness"
 	"github.com/mimosaward/mimosaward/internal/roster"
 )
 
@@ -94,7 +93,6 @@
 	r.merge(loaded.Entries, loaded.UpTo)
 	r.noteScopes(true, loaded.UpTo)
 	r.Freshness.ConfirmStore(start)
-	r.synced.Store(true)
 	return nil
 }
 
@@ -106,7 +104,7 @@
 }
 
 // vouch pulls from other readers, then starts a beat. A reader vouches for its
-// own zone once it has held a fresh configuration since its start.
+// own zone once it has caught up: with the object API, or with other zones.
 func (r *Relay) vouch(ctx context.Context) {
 	at := placeOf(r.Roster.View(), r.Self)
 	if !at.reader {
@@ -118,15 +116,21 @@
 		round.Go(func() { r.pullReader(ctx, peer) })
 	}
 	round.Wait()
-	if r.Verdict() != freshness.Stale {
-		r.synced.Store(true)
-	}
-	if r.synced.Load() && r.complete.Load() {
+	r.catchUp()
+	if r.seat.mayVouch() && r.complete.Load() {
 		r.Freshness.ConfirmZone(r.Self.AvailabilityZone, time.Now())
 	}
 	r.advance()
 }
 
+// catchUp notes that this reader has caught up since it settled.
+func (r *Relay) catchUp() {
+	settled, reader := r.seat.settledAt()
+	if reader && r.Freshness.CaughtUp(r.Self.AvailabilityZone, r.Roster.View().Zones(), settled) {
+		r.seat.noteCaughtUp(settled)
+	}
+}
+
 // vouchPeers returns the readers to pull from in this round: always those of
 // the own zone, whose progress an acknowledgement needs; one of each other zone
 // in every round while the object API does not confirm, and now and then
@@ -158,8 +162,13 @@
 	}
 }
 
-// acknowledge records the newest ticket that every reader of the zone holds.
+// acknowledge records the newest ticket that every reader of the zone holds. It
+// waits while the instance list cannot be read, since there may be a reader that
+// this process does not know of.
 func (r *Relay) acknowledge(ctx context.Context, at *cursor) {
+	if time.Since(time.Unix(0, r.listRead.Load())) > listMaxAge {
+		return
+	}
 	upTo := r.State.Snapshot().UpTo()
 	for _, peer := range placeOf(r.Roster.View(), r.Self).parents {
 		if peer.AvailabilityZone == r.Self.AvailabilityZone {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -66,9 +66,11 @@
 	beat     int64
 	beaten   chan struct{}
 	complete atomic.Bool
-	synced   atomic.Bool
 	reading  atomic.Bool
 	peers    peerProgress
+	seat     readership
+	// listRead is when the instance list was read last, in Unix nanoseconds.
+	listRead atomic.Int64
 	// vouches counts the rounds; only vouch uses it.
 	vouches int
 }
@@ -109,12 +111,21 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	start := time.Now()
 	changes, err := r.Instances.Since(ctx, view.Version())
 	if err == nil {
-		r.Roster.Merge(changes.Instances, changes.Version)
+		r.mergeRoster(changes.Instances, changes.Version)
+		r.listRead.Store(start.UnixNano())
 	}
 }
 
+// mergeRoster adds records of the instance list and looks up whether this
+// process is a reader now.
+func (r *Relay) mergeRoster(changed []roster.Instance, version int64) {
+	r.Roster.Merge(changed, version)
+	r.seat.observe(placeOf(r.Roster.View(), r.Self).reader)
+}
+
 // advance starts a new beat, which answers the waiting children.
 func (r *Relay) advance() {
 	r.mu.Lock()
@@ -162,7 +173,7 @@
 	}
 	r.merge(reply.Entries, reply.UpTo)
 	r.noteScopes(len(prefixes) == 0, reply.UpTo)
-	r.Roster.Merge(reply.Instances, reply.RosterVersion)
+	r.mergeRoster(reply.Instances, reply.RosterVersion)
 	r.Freshness.Merge(reply.Ages, start.Add(reply.Held))
 	return reply, nil
 }
--- /dev/null
+++ b/internal/system/readers_test.go
@@ -0,0 +1,86 @@
+package system
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/mimosaward/mimosaward/internal/filing"
+	"github.com/mimosaward/mimosaward/internal/relay"
+	"github.com/mimosaward/mimosaward/internal/roster"
+	"github.com/mimosaward/mimosaward/pkg/outcome"
+)
+
+// readers splits the processes of a zone into its readers and the others.
+func (s *system) readers(zone int) (readers, others []string) {
+	var members []roster.Instance
+	for _, name := range s.inZone(zone) {
+		members = append(members, s.nodes[name].instance)
+	}
+	for index, member := range roster.Rank("relay/"+zoneName(zone), members) {
+		if index < relay.ReadersPerZone {
+			readers = append(readers, member.Name)
+		} else {
+			others = append(others, member.Name)
+		}
+	}
+	return readers, others
+}
+
+// kill stops processes and takes them off the instance list.
+func (s *system) kill(names []string) {
+	for _, name := range names {
+		s.nodes[name].stop()
+		<-s.nodes[name].done
+	}
+	s.list(roster.Gone, names)
+}
+
+// list sets what the instance list says of processes.
+func (s *system) list(status roster.Status, names []string) {
+	for _, name := range names {
+		listed := s.nodes[name].instance
+		listed.Status = status
+		s.instances.Set(listed)
+	}
+}
+
+// A ticket was accepted by the readers of two zones. Then one of these zones is
+// cut off and the readers of the other die while the store is down: the
+// processes that take their place never saw the ticket, and must not vouch for
+// their zone without it.
+func TestNewReadersDoNotVouchForWhatTheyMissed(t *testing.T) {
+	inBubble(t, func(s *system) {
+		readers, others := s.readers(2)
+		// The others have been readers before, while the list left these out.
+		s.list(roster.Gone, readers)
+		time.Sleep(ticketBound)
+		s.list(roster.Live, readers)
+		time.Sleep(ticketBound)
+		missed := append(s.inZone(0), others...)
+		for _, name := range missed {
+			s.network.Cut(name, append(append(s.inZone(1), readers...), "objects")...)
+		}
+		time.Sleep(leaveBound)
+		s.zone(0, false)
+		time.Sleep(leaveBound)
+		acks, err := s.desk.Acks(context.Background())
+		last := slices.MaxFunc(acks, func(a, b filing.Ack) int { return int(a.UpTo - b.UpTo) }).UpTo
+		if err != nil || !filing.InForce(last, []string{zoneName(0), zoneName(1), zoneName(2)}, acks) {
+			t.Fatalf("the ticket was not accepted: %v, %+v", err, acks)
+		}
+		s.objects.SetFaults(standinDown)
+		s.kill(readers)
+		before := s.work(0)
+		for range 20 {
+			time.Sleep(500 * time.Millisecond)
+			if got := s.draft(0); got.outcome != outcome.NotRun {
+				t.Errorf("draft at a zone that missed the ticket: %+v", got)
+			}
+		}
+		if work := s.work(0) - before; work != 0 {
+			t.Errorf("zone out of service got %d requests", work)
+		}
+	})
+}
--- a/internal/system/system_test.go
+++ b/internal/system/system_test.go
@@ -162,22 +162,23 @@
 }
 
 // reach returns the platform as a process reaches it: not at all if the path
-// is cut.
+// is cut, to the platform as a whole or to its object API.
 func (s *system) reach(name string) process.Platform {
-	reach := func(http platform.HTTPFunc) platform.HTTPFunc {
+	reach := func(service string, http platform.HTTPFunc) platform.HTTPFunc {
+		cut := func() bool { return s.network.IsCut(name, "platform") || s.network.IsCut(name, service) }
 		return func(ctx context.Context, method, url string, body []byte) (int, []byte, error) {
-			if s.network.IsCut(name, "platform") {
+			if cut() {
 				return 0, nil, context.DeadlineExceeded
 			}
 			time.Sleep(2 * time.Millisecond)
 			status, answer, err := http(ctx, method, url, body)
-			if s.network.IsCut(name, "platform") {
+			if cut() {
 				return 0, nil, context.DeadlineExceeded
 			}
 			return status, answer, err
 		}
 	}
-	return process.Platform{ObjectHTTP: reach(s.objects.HTTP), InstanceHTTP: reach(s.instances.HTTP)}
+	return process.Platform{ObjectHTTP: reach("objects", s.objects.HTTP), InstanceHTTP: reach("instances", s.instances.HTTP)}
 }
 
 var platformSettings = settings.Platform{ObjectAPI: "http://objects", InstanceList: "http://instances"}
