Confirm an order to load right before it, and tell engines the priority

Cause: an agent decided to load, then waited for its turn and for the engine to empty, and ordered the load without looking again.

Ruled out: waiting out the old agent before the first order; a paused one may go on after any wait.

The priority goes to the engine in the Priority header of RFC 9218, 2 of 2, 1 of 1 and 1 of 1 drafts with the right urgency.

Conclusion: the confirmation closes the wait; what remains is a pause inside the order itself, see docs/design/weights.md.

--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -55,6 +55,8 @@
 	slot  *admission.Slot
 	set   string
 	start time.Time
+	// priority is that of the request's workspace.
+	priority int
 }
 
 // admit decides on a request. A refusal is always "not run": no byte of the
@@ -80,12 +82,13 @@
 			return nil, &admission.Refusal{Reason: "the endpoint serves another weight set", RetryAfter: closedRetry}
 		}
 	}
-	slot, refusal := a.gate.Admit(gateRequest(c.Get(outcome.WorkspaceHeader), snapshot))
+	wanted := gateRequest(c.Get(outcome.WorkspaceHeader), snapshot)
+	slot, refusal := a.gate.Admit(wanted)
 	if refusal != nil {
 		request.end()
 		return nil, refusal
 	}
-	request.slot = slot
+	request.slot, request.priority = slot, wanted.Priority
 	return request, nil
 }
 
--- a/internal/agent/chat.go
+++ b/internal/agent/chat.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 
 	"github.com/cockroachdb/errors"
 	"github.com/gofiber/fiber/v3"
@@ -11,9 +12,14 @@
 	"github.com/mimosaward/mimosaward/internal/event"
 	"github.com/mimosaward/mimosaward/internal/upstream"
 	"github.com/mimosaward/mimosaward/pkg/outcome"
+	"github.com/mimosaward/mimosaward/pkg/ticket"
 )
 
-const chatPath = "/v1/chat/completions"
+const (
+	chatPath = "/v1/chat/completions"
+	// priorityHeader tells the engine how urgent a request is, see RFC 9218.
+	priorityHeader = "Priority"
+)
 
 // app serves entries and other agents.
 func (a *Agent) app() *fiber.App {
@@ -34,7 +40,7 @@
 	if refusal != nil {
 		return a.refuse(c, fiber.StatusServiceUnavailable, outcome.NotRun, *refusal)
 	}
-	response, err := a.startChat(c)
+	response, err := a.startChat(c, request.priority)
 	if err != nil {
 		request.slot.Failed()
 		request.end()
@@ -61,7 +67,7 @@
 	})
 }
 
-func (a *Agent) startChat(c fiber.Ctx) (*upstream.Response, error) {
+func (a *Agent) startChat(c fiber.Ctx, priority int) (*upstream.Response, error) {
 	address, err := a.endpointURL(chatPath)
 	if err != nil {
 		return nil, err
@@ -72,10 +78,18 @@
 			fiber.HeaderContentType: fiber.MIMEApplicationJSON,
 			outcome.RequestIDHeader: c.Get(outcome.RequestIDHeader),
 			outcome.ResumeHeader:    c.Get(outcome.ResumeHeader),
+			priorityHeader:          urgency(priority),
 		},
 	})
 }
 
+// urgency writes a workspace's priority as RFC 9218 does: 3 is the default, and
+// smaller numbers are more urgent.
+func urgency(priority int) string {
+	const middle, step = 3, 2
+	return fmt.Sprintf("u=%d", middle+step*(ticket.MaxPriority/2-priority))
+}
+
 func (a *Agent) refuseFailed(c fiber.Ctx, err error) error {
 	what := outcome.Unknown
 	if errors.Is(err, upstream.ErrNotConnected) {
--- a/internal/agent/roll.go
+++ b/internal/agent/roll.go
@@ -9,6 +9,7 @@
 
 	"github.com/mimosaward/mimosaward/internal/duty"
 	"github.com/mimosaward/mimosaward/internal/event"
+	"github.com/mimosaward/mimosaward/internal/freshness"
 	"github.com/mimosaward/mimosaward/internal/roster"
 	"github.com/mimosaward/mimosaward/internal/weights"
 	"github.com/mimosaward/mimosaward/pkg/ticket"
@@ -91,7 +92,7 @@
 		return false
 	}
 	a.Log.Emit(event.SetComplete, event.Fields{"set": goal.set.String(), "bytes": verified.Bytes()})
-	if !a.awaitTurn(ctx, goal) || !a.emptyEngine(ctx) {
+	if !a.awaitTurn(ctx, goal) || !a.emptyEngine(ctx) || !a.confirm(ctx, goal) {
 		a.reopen()
 		return false
 	}
@@ -166,6 +167,19 @@
 	return ctx.Err() == nil
 }
 
+// confirm waits until the configuration is fresh and reports whether it still
+// wants the goal. After a pause or an isolation, a newer ticket may have replaced
+// it.
+func (a *Agent) confirm(ctx context.Context, goal wanted) bool {
+	for a.base.Relay.Verdict() == freshness.Stale {
+		if !duty.Sleep(ctx, drainPoll) {
+			return false
+		}
+	}
+	now, found := a.want()
+	return found && now.set == goal.set && ctx.Err() == nil
+}
+
 // reopen lets requests in again after a swap was abandoned.
 func (a *Agent) reopen() {
 	set, number, _ := a.serving.current()
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
 	"strconv"
 	"sync"
 	"time"
@@ -64,6 +65,8 @@
 	WorstOverload int   `json:"worstOverload"`
 	Loads         int64 `json:"loads"`
 	Canceled      int64 `json:"canceled"`
+	// Priorities counts the drafts by their Priority header.
+	Priorities map[string]int64 `json:"priorities"`
 }
 
 // EngineStatus is the engine's report.
@@ -125,7 +128,9 @@
 func (e *Engine) Counts() EngineCounts {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.counts
+	counts := e.counts
+	counts.Priorities = maps.Clone(e.counts.Priorities)
+	return counts
 }
 
 // SetFaults replaces the faults.
@@ -139,7 +144,7 @@
 
 // begin admits a request. An overload is counted and makes the engine cold
 // again, as real engines fall over.
-func (e *Engine) begin(requestID, prompt string) (draft, bool) {
+func (e *Engine) begin(requestID, prompt, priority string) (draft, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.set == "" {
@@ -148,6 +153,10 @@
 	started := draft{requestID: requestID, set: e.set, content: e.content, prompt: prompt, cold: e.cold()}
 	e.inFlight++
 	e.counts.Drafts++
+	if e.counts.Priorities == nil {
+		e.counts.Priorities = map[string]int64{}
+	}
+	e.counts.Priorities[priority]++
 	excess := e.inFlight - e.WarmLimit
 	if started.cold {
 		e.inFlightCold++
--- a/internal/standin/enginehttp.go
+++ b/internal/standin/enginehttp.go
@@ -87,7 +87,7 @@
 	prompt := request.Messages[len(request.Messages)-1].Content
 	resume, _ := strconv.Atoi(c.Get(outcome.ResumeHeader))
 	requestID := string(append([]byte(nil), c.Get(outcome.RequestIDHeader)...))
-	started, ok := e.begin(requestID, prompt)
+	started, ok := e.begin(requestID, prompt, string(append([]byte(nil), c.Get("Priority")...)))
 	if !ok {
 		return c.Status(503).SendString("no weights loaded")
 	}
--- a/internal/system/outcome_test.go
+++ b/internal/system/outcome_test.go
@@ -6,12 +6,14 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/google/uuid"
 
 	"github.com/mimosaward/mimosaward/internal/duty"
 	"github.com/mimosaward/mimosaward/internal/standin"
 	"github.com/mimosaward/mimosaward/internal/upstream"
 	"github.com/mimosaward/mimosaward/pkg/outcome"
+	"github.com/mimosaward/mimosaward/pkg/ticket"
 )
 
 // Whatever the engines do to answers, the caller gets a whole answer of its
@@ -210,3 +212,33 @@
 		}
 	})
 }
+
+// The engine learns how urgent a request is from the workspace's ticket, not
+// from the caller.
+func TestPriorityReachesTheEngine(t *testing.T) {
+	inBubble(t, func(s *system) {
+		s.file(ticket.Ticket{Workspaces: []ticket.Workspace{{Name: "low", Priority: 0, MaxShare: 100}, {Name: "high", Priority: 2, MaxShare: 100}}})
+		time.Sleep(ticketBound)
+		for _, workspace := range []string{"low", "high", "unknown", "high"} {
+			response, err := s.client.Do(upstream.Request{
+				Method: "POST", URL: "http://entry-0:80/v1/chat/completions",
+				Body:    []byte(`{"model":"draft","max_tokens":4,"messages":[{"role":"user","content":"x"}]}`),
+				Headers: map[string]string{outcome.WorkspaceHeader: workspace, "Priority": "u=0"},
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = response.Body()
+			response.Close()
+		}
+		got := map[string]int64{}
+		for _, engine := range s.engines {
+			for priority, count := range engine.Counts().Priorities {
+				got[priority] += count
+			}
+		}
+		if diff := cmp.Diff(map[string]int64{"u=5": 1, "u=3": 1, "u=1": 2}, got); diff != "" {
+			t.Errorf("drafts by priority (-want +got):\n%s", diff)
+		}
+	})
+}
