Hold weights behind live traffic on the instances' own links

Cause: only links between regions were paced. Also, a chunk that was being read went on after its set was abandoned.

Ruled out: the queueing delay as on thin links (64 requests for each chunk on every hop); fewer transfers at a time (roots behind a thin link need them).

A read ends at the next piece once its set is abandoned.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -13,6 +13,7 @@
 	"github.com/mimosaward/mimosaward/internal/admission"
 	"github.com/mimosaward/mimosaward/internal/event"
 	"github.com/mimosaward/mimosaward/internal/exchange"
+	"github.com/mimosaward/mimosaward/internal/pace"
 	"github.com/mimosaward/mimosaward/internal/platform"
 	"github.com/mimosaward/mimosaward/internal/process"
 	"github.com/mimosaward/mimosaward/internal/roster"
@@ -46,6 +47,9 @@
 	endpoint  *upstream.Client
 	peers     *upstream.Client
 	origin    platform.HTTPFunc
+	// up and down are the directions of the instance's link.
+	up   *pace.Link
+	down *pace.Link
 }
 
 // Run serves until stop ends, then drains and returns.
@@ -89,6 +93,8 @@
 	a.endpoint = (&upstream.Client{Dial: a.Network.Dial, FirstByteTimeout: endpointFirstByte, IdleTimeout: endpointIdle, FreshConnections: !a.isModel()}).Open()
 	a.peers = (&upstream.Client{Dial: a.Network.Dial, FirstByteTimeout: peerFirstByte, IdleTimeout: peerIdle}).Open()
 	a.origin = platform.NewHTTP(a.Network.Dial)
+	rate := float64(a.Settings.Weights.LinkRate)
+	a.up, a.down = &pace.Link{Rate: rate}, &pace.Link{Rate: rate}
 	a.store = weights.NewStore(a.Settings.Weights.ChunkMemory)
 	a.fetcher = &exchange.Fetcher{
 		Self: self, Home: a.Settings.Weights.HomeRegion, FanOut: a.Settings.Weights.FanOut, Store: a.store, Log: a.Log,
--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -49,5 +49,6 @@
 	a.setLoad(c)
 	c.Set(outcome.Header, string(outcome.Done))
 	c.Set(fiber.HeaderContentType, response.Header(fiber.HeaderContentType))
+	a.up.NoteLive(len(body))
 	return c.Status(response.Status()).Send(body)
 }
--- a/internal/agent/chat.go
+++ b/internal/agent/chat.go
@@ -110,6 +110,7 @@
 // with an error event, never silently.
 func (a *Agent) copyStream(w *bufio.Writer, event []byte, response *upstream.Response, checker *answer.Checker) {
 	for {
+		a.up.NoteLive(len(event))
 		if _, err := w.Write(event); err != nil {
 			return
 		}
--- a/internal/agent/chunks.go
+++ b/internal/agent/chunks.go
@@ -11,6 +11,7 @@
 	"github.com/gofiber/fiber/v3"
 
 	"github.com/mimosaward/mimosaward/internal/exchange"
+	"github.com/mimosaward/mimosaward/internal/pace"
 	"github.com/mimosaward/mimosaward/internal/roster"
 	"github.com/mimosaward/mimosaward/internal/upstream"
 	"github.com/mimosaward/mimosaward/internal/weights"
@@ -46,9 +47,18 @@
 	case err != nil:
 		return c.SendStatus(fiber.StatusNotFound)
 	}
+	body := &sentReader{data: served.Data, sent: served.Sent}
+	waited := served.Waited
+	if request.Length > 0 {
+		start := time.Now()
+		_ = a.up.WaitSlice(c.Context(), len(served.Data))
+		waited += time.Since(start)
+	} else {
+		body.link = a.up
+	}
 	c.Set(totalHeader, strconv.Itoa(served.Total))
-	c.Set(waitedHeader, strconv.FormatInt(served.Waited.Microseconds(), 10))
-	c.Response().SetBodyStream(&sentReader{data: served.Data, sent: served.Sent}, len(served.Data))
+	c.Set(waitedHeader, strconv.FormatInt(waited.Microseconds(), 10))
+	c.Response().SetBodyStream(body, len(served.Data))
 	return nil
 }
 
@@ -57,6 +67,8 @@
 type sentReader struct {
 	data []byte
 	sent func()
+	// link, if set, is waited for before each piece.
+	link *pace.Link
 }
 
 // Read implements io.Reader.
@@ -71,9 +83,21 @@
 
 // WriteTo implements io.WriterTo, so that the data is sent without a copy.
 func (r *sentReader) WriteTo(w io.Writer) (int64, error) {
-	n, err := w.Write(r.data)
-	r.data = r.data[n:]
-	return int64(n), err
+	var written int64
+	for len(r.data) > 0 {
+		piece := r.data
+		if r.link != nil {
+			piece = piece[:min(pace.PieceBytes, len(piece))]
+			_ = r.link.WaitChunk(context.Background(), len(piece))
+		}
+		n, err := w.Write(piece)
+		r.data = r.data[n:]
+		written += int64(n)
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
 }
 
 // Close implements io.Closer; the server calls it once.
@@ -82,8 +106,16 @@
 	return nil
 }
 
-// fetchPeer asks another agent for a chunk or a slice of it.
-func (a *Agent) fetchPeer(_ context.Context, peer roster.Instance, request exchange.Request) (exchange.Answer, error) {
+// fetchPeer asks another agent for a chunk or a slice of it, as the instance's
+// link allows. It stops reading when ctx ends.
+func (a *Agent) fetchPeer(ctx context.Context, peer roster.Instance, request exchange.Request) (exchange.Answer, error) {
+	start := time.Now()
+	if request.Length > 0 {
+		if err := a.down.WaitSlice(ctx, request.Length); err != nil {
+			return exchange.Answer{}, err
+		}
+	}
+	held := time.Since(start)
 	address := fmt.Sprintf("http://%s/chunks/%s?offset=%d&length=%d&hold=%s&takeOver=%t&spare=%t",
 		peer.WorkAddress, request.Chunk, request.Offset, request.Length, request.Hold, request.TakeOver, request.Spare)
 	response, err := a.peers.Do(upstream.Request{Method: fiber.MethodGet, URL: address})
@@ -91,7 +123,7 @@
 		return exchange.Answer{}, errors.Mark(err, exchange.ErrStalled)
 	}
 	defer response.Close()
-	body, err := response.Body()
+	body, err := a.readChunk(ctx, response, request)
 	if err != nil {
 		return exchange.Answer{}, errors.Mark(err, exchange.ErrStalled)
 	}
@@ -107,12 +139,26 @@
 	a.base.Meter.ChunkReceived("peer")
 	total, _ := strconv.Atoi(response.Header(totalHeader))
 	waited, _ := strconv.Atoi(response.Header(waitedHeader))
-	return exchange.Answer{Data: body, Total: total, Waited: time.Duration(waited) * time.Microsecond}, nil
+	return exchange.Answer{Data: body, Total: total, Waited: held + time.Duration(waited)*time.Microsecond}, nil
+}
+
+// readChunk reads the answer of another agent. A slice has waited for the link
+// already.
+func (a *Agent) readChunk(ctx context.Context, response *upstream.Response, request exchange.Request) ([]byte, error) {
+	return response.ReadPieces(pace.PieceBytes, func(bytes int) error {
+		if request.Length > 0 || response.Status() != fiber.StatusOK {
+			return ctx.Err()
+		}
+		return a.down.WaitChunk(ctx, bytes)
+	})
 }
 
 // fetchOrigin asks the origin for a chunk.
 func (a *Agent) fetchOrigin(ctx context.Context, chunk weights.Digest) ([]byte, error) {
 	data, err := a.readOrigin(ctx, "/chunks/"+chunk.String())
+	if err == nil {
+		err = a.down.WaitChunk(ctx, len(data))
+	}
 	if err == nil {
 		a.base.Meter.ChunkReceived("origin")
 	}
--- a/internal/bench/burst_test.go
+++ b/internal/bench/burst_test.go
@@ -15,6 +15,7 @@
 	"github.com/mimosaward/mimosaward/internal/duty"
 	"github.com/mimosaward/mimosaward/internal/event"
 	"github.com/mimosaward/mimosaward/internal/exchange"
+	"github.com/mimosaward/mimosaward/internal/pace"
 	"github.com/mimosaward/mimosaward/internal/roster"
 	"github.com/mimosaward/mimosaward/internal/size"
 	"github.com/mimosaward/mimosaward/internal/standin"
@@ -42,6 +43,8 @@
 type burstCase struct {
 	policy  string
 	sources exchange.SourcesFunc
+	// paced makes weights wait for live traffic on the instances' links too.
+	paced bool
 	// wholeFile makes an instance serve only once it has the whole set.
 	wholeFile bool
 	instances int
@@ -60,6 +63,7 @@
 	Chunks                     int     `json:"chunks"`
 	Faults                     bool    `json:"faults"`
 	Seed                       uint64  `json:"seed"`
+	Paced                      bool    `json:"paced"`
 	ReplicaSecondsRequired     float64 `json:"replicaSecondsRequired"`
 	ReplicaSecondsAll          float64 `json:"replicaSecondsAll"`
 	FloorSeconds               float64 `json:"floorSeconds"`
@@ -67,6 +71,8 @@
 	OriginCopies               float64 `json:"originCopies"`
 	InterRegionCopies          float64 `json:"interRegionCopies"`
 	LiveDelayMillisecondsP99   float64 `json:"liveDelayMillisecondsP99"`
+	LinkDelayMillisecondsP90   float64 `json:"linkDelayMillisecondsP90"`
+	LinkDelayMillisecondsP99   float64 `json:"linkDelayMillisecondsP99"`
 	ThinShareUsed              float64 `json:"thinShareUsed"`
 	ControlMessagesPerInstance float64 `json:"controlMessagesPerInstance"`
 	ControlBytesPerInstance    float64 `json:"controlBytesPerInstance"`
@@ -95,24 +101,19 @@
 	victims []int
 	// survivors is the number of instances that no fault ended.
 	survivors int
+	// linkDelays are what live traffic would wait on the instances' links.
+	linkDelays []time.Duration
 }
 
 type burstNode struct {
 	fetcher *exchange.Fetcher
 	up      *standin.Link
 	down    *standin.Link
-	alive   context.Context
-	kill    context.CancelFunc
-}
-
-// thinLink is one direction between two regions; shadow carries only the live
-// traffic, to tell which delay the weights add.
-type thinLink struct {
-	link    *standin.Link
-	shadow  *standin.Link
-	weights int64
-	mu      sync.Mutex
-	delays  []time.Duration
+	// paceUp and paceDown deal out the links.
+	paceUp   *pace.Link
+	paceDown *pace.Link
+	alive    context.Context
+	kill     context.CancelFunc
 }
 
 func newBurstBench(t *testing.T, c burstCase) *burstBench {
@@ -173,6 +174,10 @@
 		up:   &standin.Link{Rate: rate, Latency: time.Millisecond},
 		down: &standin.Link{Rate: rate},
 	}
+	node.paceUp, node.paceDown = &pace.Link{}, &pace.Link{}
+	if b.c.paced {
+		node.paceUp.Rate, node.paceDown.Rate = rate, rate
+	}
 	store := weights.NewStore(size.GiB)
 	if err := store.Pin(b.manifest); err != nil {
 		t.Fatal(err)
@@ -184,53 +189,13 @@
 			return b.fetchPeer(ctx, self, peer, request)
 		},
 		FetchOrigin: func(ctx context.Context, chunk weights.Digest) ([]byte, error) {
-			standin.SendChunk(ctx, b.origin, node.down, len(b.content[chunk]))
+			b.sendChunk(ctx, b.origin, &pace.Link{}, node, len(b.content[chunk]))
 			return b.content[chunk], ctx.Err()
 		},
 	}
 	return node
 }
 
-// stallTimeout is how long a transfer over a stalled link lasts before the
-// transport gives up.
-const stallTimeout = 3 * time.Second
-
-func (b *burstBench) fetchPeer(ctx context.Context, self, peer roster.Instance, request exchange.Request) (exchange.Answer, error) {
-	server, client := b.nodes[peer.Name], b.nodes[self.Name]
-	thin := b.thin[[2]string{peer.Region, self.Region}]
-	if thin != nil {
-		duty.Sleep(ctx, 2*time.Millisecond)
-	}
-	if server.alive.Err() != nil {
-		return exchange.Answer{}, exchange.ErrStalled
-	}
-	if b.c.wholeFile && server.fetcher.Store.Missing(b.manifest) > 0 {
-		duty.Sleep(ctx, request.Hold)
-		return exchange.Answer{}, exchange.ErrNotYet
-	}
-	answer, err := server.fetcher.Serve(ctx, request)
-	if err != nil {
-		return exchange.Answer{}, err
-	}
-	defer answer.Sent()
-	if thin != nil {
-		if thin.link.Stalled() {
-			duty.Sleep(ctx, stallTimeout)
-			return exchange.Answer{}, exchange.ErrStalled
-		}
-		standin.SendSlice(ctx, server.up, thin.link, client.down, len(answer.Data))
-		thin.mu.Lock()
-		thin.weights += int64(len(answer.Data))
-		thin.mu.Unlock()
-	} else {
-		standin.SendChunk(ctx, server.up, client.down, len(answer.Data))
-	}
-	if server.alive.Err() != nil {
-		return exchange.Answer{}, exchange.ErrStalled
-	}
-	return b.corrupt(answer), ctx.Err()
-}
-
 // corrupt damages one chunk in a hundred.
 func (b *burstBench) corrupt(answer exchange.Answer) exchange.Answer {
 	b.mu.Lock()
@@ -254,6 +219,8 @@
 		seed := b.random.Uint64()
 		live.Go(func(ctx context.Context) { thin.liveTraffic(ctx, rand.New(rand.NewPCG(seed, 2))) })
 	}
+	probes := rand.New(rand.NewPCG(b.c.seed, 3))
+	live.Go(func(ctx context.Context) { b.liveRequests(ctx, probes) })
 	start := time.Now()
 	bursts := duty.NewGroup(ctx)
 	for _, member := range b.members {
@@ -300,21 +267,6 @@
 	}
 }
 
-// liveTraffic sends packet trains at random times and notes the delay that
-// they met beyond what live traffic alone would cause.
-func (l *thinLink) liveTraffic(ctx context.Context, random *rand.Rand) {
-	const train = 4 << 10 * unit
-	rate := thinRate * unit * liveShare / train
-	for ctx.Err() == nil {
-		duty.Sleep(ctx, time.Duration(random.ExpFloat64()/rate*float64(time.Second)))
-		_, end := l.link.Reserve(train)
-		_, alone := l.shadow.Reserve(train)
-		if !l.link.Stalled() {
-			l.delays = append(l.delays, end.Sub(alone))
-		}
-	}
-}
-
 func (b *burstBench) floor() float64 {
 	setBytes := float64(b.manifest.Bytes())
 	floor := burstWindow.Seconds() / 2
@@ -329,7 +281,7 @@
 	slices.Sort(b.finished)
 	f := burstFigure{
 		Figure: "burst", Policy: b.c.policy, Instances: b.c.instances, Regions: b.c.regions, Chunks: b.c.chunks,
-		Faults: b.c.faults, Seed: b.c.seed, FloorSeconds: b.floor(),
+		Faults: b.c.faults, Seed: b.c.seed, Paced: b.c.paced, FloorSeconds: b.floor(),
 		OriginCopies: float64(b.origin.Bytes()) / setBytes,
 	}
 	f.Finished = len(b.finished)
@@ -347,9 +299,9 @@
 		f.ThinShareUsed = max(f.ThinShareUsed, float64(thin.weights)/(max(1, f.ReplicaSecondsAll)*thinRate*unit*(1-liveShare)))
 		delays = append(delays, thin.delays...)
 	}
-	if slices.Sort(delays); len(delays) > 0 {
-		f.LiveDelayMillisecondsP99 = float64(delays[len(delays)*99/100].Microseconds()) / 1000
-	}
+	f.LiveDelayMillisecondsP99 = milliseconds(delays, 99)
+	f.LinkDelayMillisecondsP90 = milliseconds(b.linkDelays, 90)
+	f.LinkDelayMillisecondsP99 = milliseconds(b.linkDelays, 99)
 	for _, node := range b.nodes {
 		messages := float64(node.fetcher.Counters().PeerRequests.Load() + node.fetcher.Counters().OriginChunks.Load())
 		f.ControlMessagesPerInstance += messages / float64(b.c.instances)
@@ -359,3 +311,13 @@
 	f.ControlBytesPerInstance = f.ControlMessagesPerInstance * requestBytes
 	return f
 }
+
+// milliseconds returns the value that the given percentage of the delays stay
+// below.
+func milliseconds(delays []time.Duration, percent int) float64 {
+	if len(delays) == 0 {
+		return 0
+	}
+	slices.Sort(delays)
+	return float64(delays[len(delays)*percent/100].Microseconds()) / 1000
+}
--- a/internal/bench/burstbound_test.go
+++ b/internal/bench/burstbound_test.go
@@ -47,6 +47,39 @@
 	}
 }
 
+// TestBurstBehindLiveTraffic paces weights on the instances' links too. A request
+// that waits behind weights must still get its first token in time.
+func TestBurstBehindLiveTraffic(t *testing.T) {
+	c := burstCase{policy: "striped", instances: 12, regions: 3, chunks: 192, paced: true, seed: 7}
+	requireLinkDelay(t, measureBurst(t, c))
+	if !*figures {
+		return
+	}
+	c.regions, c.chunks = 4, 512
+	for _, instances := range []int{12, 48, 440} {
+		for _, faults := range []bool{false, true} {
+			for _, paced := range []bool{false, true} {
+				c.instances, c.faults, c.paced = instances, faults, paced
+				figure := measureBurst(t, c)
+				if paced {
+					requireLinkDelay(t, figure)
+				}
+			}
+		}
+	}
+}
+
+// firstTokenMilliseconds is the time in which the first token must arrive.
+const firstTokenMilliseconds = 840
+
+func requireLinkDelay(t *testing.T, figure burstFigure) {
+	t.Helper()
+	checkBurst(t, figure)
+	if figure.LinkDelayMillisecondsP99 > firstTokenMilliseconds {
+		t.Errorf("%+v: live traffic waits %.0f ms behind weights, bound %d ms", figure, figure.LinkDelayMillisecondsP99, firstTokenMilliseconds)
+	}
+}
+
 // TestBurstPolicies compares the ways to spread weights side by side. A burst
 // that takes longer than twice the window counts as unfinished.
 func TestBurstPolicies(t *testing.T) {
--- /dev/null
+++ b/internal/bench/burstlinks_test.go
@@ -0,0 +1,116 @@
+package bench
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/mimosaward/mimosaward/internal/duty"
+	"github.com/mimosaward/mimosaward/internal/exchange"
+	"github.com/mimosaward/mimosaward/internal/pace"
+	"github.com/mimosaward/mimosaward/internal/roster"
+	"github.com/mimosaward/mimosaward/internal/standin"
+)
+
+// thinLink is one direction between two regions; shadow carries only the live
+// traffic, to tell which delay the weights add.
+type thinLink struct {
+	link    *standin.Link
+	shadow  *standin.Link
+	weights int64
+	mu      sync.Mutex
+	delays  []time.Duration
+}
+
+// stallTimeout is how long a transfer over a stalled link lasts before the
+// transport gives up.
+const stallTimeout = 3 * time.Second
+
+func (b *burstBench) fetchPeer(ctx context.Context, self, peer roster.Instance, request exchange.Request) (exchange.Answer, error) {
+	server, client := b.nodes[peer.Name], b.nodes[self.Name]
+	thin := b.thin[[2]string{peer.Region, self.Region}]
+	if thin != nil {
+		duty.Sleep(ctx, 2*time.Millisecond)
+	}
+	if server.alive.Err() != nil {
+		return exchange.Answer{}, exchange.ErrStalled
+	}
+	if b.c.wholeFile && server.fetcher.Store.Missing(b.manifest) > 0 {
+		duty.Sleep(ctx, request.Hold)
+		return exchange.Answer{}, exchange.ErrNotYet
+	}
+	answer, err := server.fetcher.Serve(ctx, request)
+	if err != nil {
+		return exchange.Answer{}, err
+	}
+	defer answer.Sent()
+	if thin != nil {
+		if thin.link.Stalled() {
+			duty.Sleep(ctx, stallTimeout)
+			return exchange.Answer{}, exchange.ErrStalled
+		}
+		start := time.Now()
+		_ = client.paceDown.WaitSlice(ctx, len(answer.Data))
+		_ = server.paceUp.WaitSlice(ctx, len(answer.Data))
+		answer.Waited += time.Since(start)
+		standin.SendSlice(ctx, server.up, thin.link, client.down, len(answer.Data))
+		thin.mu.Lock()
+		thin.weights += int64(len(answer.Data))
+		thin.mu.Unlock()
+	} else {
+		b.sendChunk(ctx, server.up, server.paceUp, client, len(answer.Data))
+	}
+	if server.alive.Err() != nil {
+		return exchange.Answer{}, exchange.ErrStalled
+	}
+	return b.corrupt(answer), ctx.Err()
+}
+
+// pieceTime is how long an instance's link takes for one piece of a chunk.
+const pieceTime = 5 * time.Millisecond
+
+// sendChunk carries a chunk to an instance: at once, or in pieces as the links of
+// both ends allow.
+func (b *burstBench) sendChunk(ctx context.Context, up *standin.Link, paceUp *pace.Link, client *burstNode, bytes int) {
+	if !b.c.paced {
+		standin.SendChunk(ctx, up, client.down, bytes)
+		return
+	}
+	piece := max(1, int(client.down.Rate*pieceTime.Seconds()))
+	for left := bytes; left > 0 && ctx.Err() == nil; left -= piece {
+		next := min(piece, left)
+		_ = client.paceDown.WaitChunk(ctx, next)
+		_ = paceUp.WaitChunk(ctx, next)
+		standin.SendChunk(ctx, up, client.down, next)
+	}
+}
+
+// liveTraffic sends packet trains at random times and notes the delay that
+// they met beyond what live traffic alone would cause.
+func (l *thinLink) liveTraffic(ctx context.Context, random *rand.Rand) {
+	const train = 4 << 10 * unit
+	rate := thinRate * unit * liveShare / train
+	for ctx.Err() == nil {
+		duty.Sleep(ctx, time.Duration(random.ExpFloat64()/rate*float64(time.Second)))
+		_, end := l.link.Reserve(train)
+		_, alone := l.shadow.Reserve(train)
+		if !l.link.Stalled() {
+			l.delays = append(l.delays, end.Sub(alone))
+		}
+	}
+}
+
+// liveRequests notes, at random times, how long a packet of live traffic would
+// wait behind weights on the links of every instance.
+func (b *burstBench) liveRequests(ctx context.Context, random *rand.Rand) {
+	for ctx.Err() == nil {
+		duty.Sleep(ctx, time.Duration(random.ExpFloat64()*float64(instanceProbe)))
+		for _, node := range b.nodes {
+			b.linkDelays = append(b.linkDelays, max(node.up.Backlog(), node.down.Backlog()))
+		}
+	}
+}
+
+// instanceProbe is the mean time between two probes of the instances' links.
+const instanceProbe = 100 * time.Millisecond
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -23,7 +23,7 @@
 }
 
 // Answer is what a peer sent. Total is the size of the whole chunk. Waited is
-// how long the peer held the request.
+// how long the peer held the request and the instances' own links delayed it.
 type Answer struct {
 	Data   []byte
 	Total  int
--- /dev/null
+++ b/internal/pace/link_test.go
@@ -0,0 +1,94 @@
+package pace_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mimosaward/mimosaward/internal/duty"
+	"github.com/mimosaward/mimosaward/internal/pace"
+)
+
+const linkRate = 1 << 20
+
+// sendPieces sends chunks from several workers for a while and returns the bytes
+// a second.
+func sendPieces(link *pace.Link, workers int, length time.Duration) float64 {
+	ctx, cancel := context.WithTimeout(context.Background(), length)
+	defer cancel()
+	group := duty.NewGroup(ctx)
+	sent := make([]int, workers)
+	for worker := range workers {
+		group.Go(func(ctx context.Context) {
+			for link.WaitChunk(ctx, pace.PieceBytes) == nil {
+				sent[worker] += pace.PieceBytes
+			}
+		})
+	}
+	group.Wait()
+	total := 0
+	for _, bytes := range sent {
+		total += bytes
+	}
+	return float64(total) / length.Seconds()
+}
+
+func TestChunksUseTheWholeLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		link := &pace.Link{Rate: linkRate}
+		if got := sendPieces(link, 8, 20*time.Second); got < 0.9*linkRate || got > linkRate {
+			t.Errorf("chunks got %.0f bytes a second of a link of %d", got, linkRate)
+		}
+	})
+}
+
+// Weights use what live traffic leaves, and go on slowly if it leaves nothing.
+func TestChunksStayBehindLiveTraffic(t *testing.T) {
+	cases := []struct{ live, least, most float64 }{
+		{0.3, 0.55 * linkRate, 0.7 * linkRate},
+		{0.6, 0.3 * linkRate, 0.4 * linkRate},
+		{1.5, pace.PieceBytes / 2, 2 * pace.PieceBytes},
+	}
+	for _, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			const interval = 10 * time.Millisecond
+			link := &pace.Link{Rate: linkRate}
+			live := duty.NewGroup(t.Context())
+			live.Go(func(ctx context.Context) {
+				for duty.Sleep(ctx, interval) {
+					link.NoteLive(int(c.live * linkRate * interval.Seconds()))
+				}
+			})
+			got := sendPieces(link, 8, 20*time.Second)
+			live.Stop()
+			live.Wait()
+			if got < c.least || got > c.most {
+				t.Errorf("live traffic takes %.1f of the link, chunks got %.0f bytes a second, want %.0f to %.0f", c.live, got, c.least, c.most)
+			}
+		})
+	}
+}
+
+// A slice waits for live traffic, not for the chunks that wait.
+func TestSlicesGoBeforeChunks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		link := &pace.Link{Rate: linkRate}
+		ctx, cancel := context.WithCancel(t.Context())
+		chunks := duty.NewGroup(ctx)
+		for range 32 {
+			chunks.Go(func(ctx context.Context) {
+				for link.WaitChunk(ctx, pace.PieceBytes) == nil {
+					continue
+				}
+			})
+		}
+		time.Sleep(time.Second)
+		start := time.Now()
+		if err := link.WaitSlice(ctx, pace.PieceBytes); err != nil || time.Since(start) != 0 {
+			t.Errorf("slice waited %s behind chunks: %v", time.Since(start), err)
+		}
+		cancel()
+		chunks.Wait()
+	})
+}
--- a/internal/settings/agent.go
+++ b/internal/settings/agent.go
@@ -43,6 +43,8 @@
 	// ThinLinkDelay is the queueing delay that weights may add on a link
 	// between regions.
 	ThinLinkDelay time.Duration `json:"thinLinkDelay" check:"positive" doc:"Queueing delay that weights may add on a link between regions."`
+	// LinkRate is what the instance's link carries a second in each direction.
+	LinkRate size.Bytes `json:"linkRate" doc:"What the instance's link carries a second in each direction; weights use what live traffic leaves of it. 0B means that they are not held back."`
 }
 
 // DefaultAgent returns the settings that a file may leave out.
@@ -69,7 +71,14 @@
 	return loaded, err
 }
 
+// minLinkRate is the lowest rate at which the pieces of all chunks in flight
+// follow each other before a peer gives up.
+const minLinkRate = size.MiB
+
 func checkEndpoint(c *checker, loaded Agent) {
+	if rate := loaded.Weights.LinkRate; rate != 0 && rate < minLinkRate {
+		c.add("weights.linkRate", "%d bytes a second are below the least rate of %d", rate, minLinkRate)
+	}
 	switch loaded.Endpoint.Kind {
 	case "model":
 		if loaded.Weights.OriginURL == "" {
--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -49,6 +49,13 @@
 	return time.Now().Before(l.stalledUntil)
 }
 
+// Backlog returns the time that the link needs for what it was given.
+func (l *Link) Backlog() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(0, time.Until(l.free))
+}
+
 // Reserve books a transfer behind all earlier ones and returns when it starts
 // and ends.
 func (l *Link) Reserve(bytes int) (start, end time.Time) {
--- a/internal/system/system_test.go
+++ b/internal/system/system_test.go
@@ -225,6 +225,7 @@
 	loaded.WorkAddress, loaded.ControlAddress, loaded.AdminAddress = name+":80", name+":81", name+":82"
 	loaded.Endpoint = settings.Endpoint{URL: "http://" + name + ":90", Pool: pool, Kind: kind, WarmLimit: warmLimit, ColdLimit: coldLimit, ColdLatency: 150 * time.Millisecond}
 	loaded.Weights.OriginURL, loaded.Weights.HomeRegion, loaded.Weights.ChunkMemory = "http://origin:80", zoneName(0), 16*size.MiB
+	loaded.Weights.LinkRate = size.MiB
 	if s.shape.ungated {
 		loaded.Endpoint.WarmLimit, loaded.Endpoint.ColdLimit, loaded.Endpoint.ColdLatency = noLimit, noLimit, time.Hour
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"time"
@@ -154,6 +155,27 @@
 	return body, nil
 }
 
+// ReadPieces reads the whole body in pieces. It calls wait before each piece with
+// its largest size and ends with its error, if any.
+func (r *Response) ReadPieces(piece int, wait func(bytes int) error) ([]byte, error) {
+	if r.reader == nil {
+		return r.Body()
+	}
+	var body bytes.Buffer
+	for {
+		if err := wait(piece); err != nil {
+			return nil, err
+		}
+		n, err := io.CopyN(&body, r.reader, int64(piece))
+		if n < int64(piece) && errors.Is(err, io.EOF) {
+			return body.Bytes(), nil
+		}
+		if err != nil {
+			return nil, errors.Mark(err, ErrNoAnswer)
+		}
+	}
+}
+
 // Close ends the request. If the body was not read to its end, the connection
 // is closed, which tells the next hop that the caller left.
 func (r *Response) Close() {
--- /dev/null
+++ b/internal/upstream/client_test.go
@@ -0,0 +1,74 @@
+package upstream_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttputil"
+
+	"github.com/mimosaward/mimosaward/internal/duty"
+	"github.com/mimosaward/mimosaward/internal/upstream"
+)
+
+const piece = 4 << 10
+
+// serve answers every request with a body and returns a client for it.
+func serve(t *testing.T, body []byte) *upstream.Client {
+	t.Helper()
+	listener := fasthttputil.NewInmemoryListener()
+	server := &fasthttp.Server{Handler: func(c *fasthttp.RequestCtx) { c.SetBodyStream(bytes.NewReader(body), len(body)) }}
+	group := duty.NewGroup(t.Context())
+	group.Go(func(context.Context) { _ = server.Serve(listener) })
+	client := &upstream.Client{
+		Dial:             func(string) (net.Conn, error) { return listener.Dial() },
+		FirstByteTimeout: time.Minute, IdleTimeout: time.Minute,
+	}
+	client.Open()
+	t.Cleanup(func() {
+		client.Close()
+		_ = listener.Close()
+		group.Wait()
+	})
+	return client
+}
+
+func TestReadPieces(t *testing.T) {
+	for _, length := range []int{0, 1, piece - 1, piece, piece + 1, 10 * piece} {
+		want := bytes.Repeat([]byte("w"), length)
+		response, err := serve(t, want).Do(upstream.Request{Method: "GET", URL: "http://peer/"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := response.ReadPieces(piece, func(int) error { return nil })
+		response.Close()
+		if err != nil || !bytes.Equal(got, want) {
+			t.Errorf("body of %d bytes: got %d, %v", length, len(got), err)
+		}
+	}
+}
+
+// A reader that is told to stop, as when its weight set was replaced, reads
+// nothing more.
+func TestReadPiecesStops(t *testing.T) {
+	errStop := errors.New("stop")
+	response, err := serve(t, make([]byte, 100*piece)).Do(upstream.Request{Method: "GET", URL: "http://peer/"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Close()
+	waits := 0
+	_, err = response.ReadPieces(piece, func(int) error {
+		if waits++; waits > 3 {
+			return errStop
+		}
+		return nil
+	})
+	if !errors.Is(err, errStop) || waits != 4 {
+		t.Errorf("reader ended after %d waits with %v, want 4 and %v", waits, err, errStop)
+	}
+}
