--- a/cmd/mimosaward-demo/main.go
+++ b/cmd/mimosaward-demo/main.go
@@ -19,6 +19,7 @@
 	Binaries string `long:"binaries" default:"bin" description:"Directory with the programs"`
 	Site     string `long:"site" default:"tegaki" choice:"tegaki" choice:"cairnloch" description:"Shape of the installation"`
 	Keep     bool   `long:"keep" description:"Keep the log and settings files"`
+	Figures  bool   `long:"figures" description:"Print the measured figures as JSON objects, one a line"`
 }
 
 // Execute implements flags.Commander.
@@ -29,7 +30,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	running := &demo.Demo{Site: site, Binaries: o.Binaries, Out: os.Stdout, Keep: o.Keep}
+	running := &demo.Demo{Site: site, Binaries: o.Binaries, Out: os.Stdout, Keep: o.Keep, Figures: o.Figures}
 	return running.Run(ctx)
 }
 
--- a/internal/capacity/cases.go
+++ b/internal/capacity/cases.go
@@ -41,20 +41,29 @@
 
 // bursts lists the measured bursts of the chosen way.
 func (m *model) bursts() string {
-	text := "## Weights\n\nMeasured bursts of the chosen way (TestBurstPolicies): a set that the origin's\nlink carries four times in 300 s and an instance's link twice, thin links of\n32 Mbit/s of which live traffic takes 30%. Faults: 5% of the instances die, 1%\nof the chunks are damaged, one thin link stalls for 30 s.\n\n"
-	text += header("instances", "regions", "faults", "seconds to all", "ratio to the floor", "origin copies", "copies over the worst thin link", "live delay p99 in ms", "messages for each instance")
+	text := "## Weights\n\nMeasured bursts of the chosen way (TestBurstPolicies): a set that the origin's\nlink carries four times in 300 s and an instance's link twice, thin links of\n32 Mbit/s of which live traffic takes 30%. Faults: 5% of the instances die, 1%\nof the chunks are damaged, one thin link stalls for 30 s.\nWith linkRate, weights wait for live traffic on the instances' own links\n(TestBurstBehindLiveTraffic).\n\n"
+	text += header("instances", "regions", "faults", "linkRate", "seconds to all", "ratio to the floor", "origin copies", "copies over the worst thin link", "live delay p99 in ms, thin link", "instance link", "messages for each instance")
 	for _, one := range m.all {
 		if one.Figure != "burst" || one.Policy != "striped" || one.Chunks < 512 {
 			continue
 		}
-		text += row(number(one.Instances), number(one.Regions), fmt.Sprint(one.Faults), number(one.ReplicaSecondsAll), fmt.Sprintf("%.2f", one.FloorRatio),
-			fmt.Sprintf("%.2f", one.OriginCopies), fmt.Sprintf("%.2f", one.InterRegionCopies), number(one.LiveDelayP99), number(one.ControlMessagesPerInstance))
+		text += row(number(one.Instances), number(one.Regions), fmt.Sprint(one.Faults), fmt.Sprint(one.Paced), number(one.ReplicaSecondsAll), fmt.Sprintf("%.2f", one.FloorRatio),
+			fmt.Sprintf("%.2f", one.OriginCopies), fmt.Sprintf("%.2f", one.InterRegionCopies), number(one.LiveDelayP99), linkDelay(one), number(one.ControlMessagesPerInstance))
 	}
 	hash := m.costs["verifyChunkMiB"]
 	text += fmt.Sprintf("\nVerifying takes %s s of a core for each GiB. Carried by internal/swarm, internal/exchange, internal/pace and internal/weights.\n\n", number(hash*1024))
 	return text
 }
 
+// linkDelay returns the wait of live traffic on the instances' links, which older
+// measurements do not have.
+func linkDelay(one Measurement) string {
+	if one.LinkDelayP99 == 0 {
+		return "not measured"
+	}
+	return number(one.LinkDelayP99)
+}
+
 // events lists the cases that come on top of the ordinary load.
 func (m *model) events() string {
 	planned := Planned()
--- a/internal/capacity/measurement.go
+++ b/internal/capacity/measurement.go
@@ -47,6 +47,8 @@
 	LiveDelayP99               float64 `json:"liveDelayMillisecondsP99"`
 	ControlMessagesPerInstance float64 `json:"controlMessagesPerInstance"`
 	ThinShareUsed              float64 `json:"thinShareUsed"`
+	Paced                      bool    `json:"paced"`
+	LinkDelayP99               float64 `json:"linkDelayMillisecondsP99"`
 }
 
 // Read returns the measurements of a file with one JSON object a line.
--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -126,6 +126,11 @@
 		return m.memory["rosterInstance"]*size.Processes() + m.memory["scope"]*size.ScopesPerMember
 	}
 	text += row("entry or agent", "heap for instance list and scopes", mebibytes(memory(today)), mebibytes(memory(planned)), mebibytes(budgetMemoryBytes), verdict(memory(planned), budgetMemoryBytes), "internal/roster, internal/state")
+	growth := memory(planned) - memory(today)
+	for _, role := range []struct{ name, figure string }{{"entry", "residentEntry"}, {"agent of a service", "residentAgent"}} {
+		now := m.memory[role.figure]
+		text += row(role.name, "resident memory, whole process", mebibytes(now), mebibytes(now+growth), mebibytes(budgetMemoryBytes), verdict(now+growth, budgetMemoryBytes), "measured under the demo's load, with the runtime, connections and requests; the budget is for control alone")
+	}
 	core := (fanOut+1)*beats*m.costs["controlCall"] + planned.TicketsDay/86400*m.costs["applyTicket"]
 	text += row("relay", "share of a core", share(beats*m.costs["controlCall"]), share(core), share(budgetCoreShare), verdict(core, budgetCoreShare), "internal/control, internal/state")
 	reader := m.calls.at(planned.Processes())*2*m.costs["controlCall"] + core
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -42,8 +42,8 @@
 - Latency between processes is not part of the time to everywhere: the bench
   joins them by pipes. At the planned size a ticket passes 4 hops more than at
   today's.
-- Resident memory of a whole process was not measured; the memory rows are the
-  heap of the state they name. A Go process adds its runtime and connections.
+- Resident memory was measured at the demo's size; at the planned size the growth of
+  the instance list and the scopes is added, but not that of connections.
 - Processor time was measured on one machine, with other work on it.
 - The checkpoint is one object of at most 1 MiB. With the measured size of a
   scope it holds some thousands of scopes; it is not split yet.
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -36,6 +36,8 @@
 	Out      io.Writer
 	// Keep keeps the log and settings files of every process.
 	Keep bool
+	// Figures prints what docs/measurements.jsonl keeps of the run.
+	Figures bool
 
 	cluster *cluster
 	load    *load
@@ -59,6 +61,11 @@
 	if err := d.report.write(d.Out); err != nil {
 		return errors.Wrapf(err, "logs are in %s", directory)
 	}
+	if d.Figures {
+		if err := d.writeFigures(); err != nil {
+			return err
+		}
+	}
 	if d.Keep {
 		_, _ = fmt.Fprintf(d.Out, "logs are in %s\n", directory)
 		return nil
@@ -82,7 +89,7 @@
 		}},
 		{"roll out a second version under load", func(ctx context.Context) error { return d.rollOut(ctx, "v2") }},
 		{"take an availability zone out and bring it back", d.moveZone},
-		{"pause an entry and a zone's agents while the zone is taken out", d.pauseZone},
+		{"pause every process of a zone while the zone is taken out", d.pauseZone},
 		{"kill an entry and an agent", d.kill},
 		{"make the object API unavailable", d.outage},
 		{"stop an entry and an agent gracefully under load", d.stopSome},
--- a/internal/demo/faults.go
+++ b/internal/demo/faults.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/mimosaward/mimosaward/internal/duty"
 	"github.com/mimosaward/mimosaward/internal/roster"
 	"github.com/mimosaward/mimosaward/internal/standin"
@@ -19,17 +21,23 @@
 		return err
 	}
 	duty.Sleep(ctx, zoneGrace)
-	before, err := d.workIn(zone)
-	if err != nil {
+	var err error
+	if d.report.zoneWork, err = d.workDuring(ctx, zone, func() error { return nil }); err != nil {
 		return err
 	}
+	return d.returnZone(ctx, zone)
+}
+
+// workDuring counts the requests that the endpoints of a zone get from begin to
+// the end of a phase.
+func (d *Demo) workDuring(ctx context.Context, zone string, begin func() error) (int64, error) {
+	before, err := d.workIn(zone)
+	if err = errors.CombineErrors(err, begin()); err != nil {
+		return 0, err
+	}
 	duty.Sleep(ctx, phase)
 	after, err := d.workIn(zone)
-	if err != nil {
-		return err
-	}
-	d.report.zoneWork = after - before
-	return d.returnZone(ctx, zone)
+	return after - before, err
 }
 
 // returnZone brings a zone back and waits until it has work.
@@ -158,6 +166,9 @@
 	if err := d.readRuns(); err != nil {
 		return err
 	}
+	if err := d.readMemory(); err != nil {
+		return err
+	}
 	for _, running := range append(append([]*node{}, d.cluster.entries...), d.cluster.agents...) {
 		if running.instance.Status != roster.Live {
 			continue
--- a/internal/demo/pause.go
+++ b/internal/demo/pause.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -11,15 +12,16 @@
 	"github.com/mimosaward/mimosaward/pkg/ticket"
 )
 
-// pauseZone stops the clockwork of an entry and of every agent of the last
-// zone, takes the zone out meanwhile, and lets them go on. What waited in their
-// sockets must be refused, since they missed the ticket.
+// pauseZone stops every entry and agent of the last zone, takes the zone out
+// meanwhile, and lets them go on. What waited in their sockets must be refused,
+// since they missed the ticket. The other zones are left alone: a paused reader
+// keeps its zone from acknowledging the ticket.
 func (d *Demo) pauseZone(ctx context.Context) error {
 	zone := d.Site.Places[len(d.Site.Places)-1].Zone
-	paused := []*node{d.cluster.entries[0]}
-	for _, agent := range d.cluster.agents {
-		if agent.instance.AvailabilityZone == zone && agent.instance.Status == roster.Live {
-			paused = append(paused, agent)
+	var paused []*node
+	for _, running := range slices.Concat(d.cluster.entries, d.cluster.agents) {
+		if running.instance.AvailabilityZone == zone && running.instance.Status == roster.Live {
+			paused = append(paused, running)
 		}
 	}
 	if err := signal(paused, syscall.SIGSTOP); err != nil {
@@ -27,19 +29,12 @@
 	}
 	err := d.file("zone-out-paused", ticket.Ticket{Zones: []ticket.Zone{{Name: zone, InService: false}}})
 	duty.Sleep(ctx, pauseLength)
-	before, workErr := d.workIn(zone)
-	if resumeErr := signal(paused, syscall.SIGCONT); err == nil {
-		err = errors.CombineErrors(workErr, resumeErr)
-	}
-	if err != nil {
-		return err
-	}
-	duty.Sleep(ctx, phase)
-	after, err := d.workIn(zone)
-	if err != nil {
+	resume := func() error { return signal(paused, syscall.SIGCONT) }
+	work, workErr := d.workDuring(ctx, zone, resume)
+	if err = errors.CombineErrors(err, workErr); err != nil {
 		return err
 	}
-	d.report.pausedWork = after - before
+	d.report.pausedWork = work
 	return d.returnZone(ctx, zone)
 }
 
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -20,6 +20,8 @@
 	zoneWork        int64
 	pausedWork      int64
 	zoneBackSeconds float64
+	entryMemory     float64
+	agentMemory     float64
 	outageDrafts    int
 	cutByStop       int
 	overloads       int64
@@ -82,6 +84,8 @@
 		counted("bookings, \"outcome unknown\"", r.tally.bookingUnsure),
 		counted("drafts during the object API's outage", r.outageDrafts),
 		{name: "seconds until the zone that came back had work", value: r.zoneBackSeconds},
+		{name: "resident memory of the largest entry, MiB", value: r.entryMemory / (1 << 20)},
+		{name: "resident memory of the largest agent of a service, MiB", value: r.agentMemory / (1 << 20)},
 		promise("answers from partial or mixed weights", float64(r.tally.mixed), 0),
 		promise("answers of another request", float64(r.tally.crossed), 0),
 		promise("answers cut without an error", float64(r.tally.silentlyCut), 0),
