Keep one ordered copy of the instance list, and look up zones and place once

Cause: at the planned 14,200 instances each admission judged freshness with the zones of the view, found by a walk over every instance: 410 us, on the path of each request. Each change of the list cloned a map and two lists: 24.9 ms and 21.6 MB of garbage in a process whose budget is 32 MB. The place in the relay tree was computed anew at each beat, watch and pull, several times a second: 14.4 ms and 13 MB each, about 5% of a core against a budget of 2%.

Ruled out: pointers instead of records (as many small objects for the collector); sending members of the own zone only (readers need those of all zones).

Before, after: verdict 410,131 and 150 ns, 4 and 0 allocations; list change 24.9 and 2.5 ms, 21.6 and 2.2 MB, 14,675 and 7 allocations; heap for a record 740 and 232 bytes; place 14.4 and 6.5 ms, 13.1 and 3.0 MB, now once for each change.

Conclusion: bounded in TestCosts (0 and 40 allocations) and TestPlaceIsComputedOncePerView; TestTreeIsBounded holds the tree's fan-out.

--- a/internal/bench/costs_test.go
+++ b/internal/bench/costs_test.go
@@ -12,6 +12,8 @@
 	"github.com/mimosaward/mimosaward/internal/answer"
 	"github.com/mimosaward/mimosaward/internal/control"
 	"github.com/mimosaward/mimosaward/internal/duty"
+	"github.com/mimosaward/mimosaward/internal/freshness"
+	"github.com/mimosaward/mimosaward/internal/relay"
 	"github.com/mimosaward/mimosaward/internal/roster"
 	"github.com/mimosaward/mimosaward/internal/routing"
 	"github.com/mimosaward/mimosaward/internal/standin"
@@ -79,6 +81,22 @@
 				router.End(chosen.Name)
 			}
 		}},
+		{"verdict", 0, func(b *testing.B) {
+			holder := roster.NewHolder()
+			holder.Merge(instances(listedInstances), 1)
+			judge := &relay.Relay{Roster: holder, Freshness: freshness.NewTracker()}
+			for b.Loop() {
+				judge.Verdict()
+			}
+		}},
+		{"listChange", 40, func(b *testing.B) {
+			view := roster.NewView().With(instances(listedInstances), 1)
+			changed := instances(1)
+			for version := int64(listedInstances + 1); b.Loop(); version++ {
+				changed[0].Version = version
+				view = view.With(changed, version)
+			}
+		}},
 		{"checkToken", 12, func(b *testing.B) {
 			line := []byte(`data: {"id":"r","object":"chat.completion.chunk","model":"draft","system_fingerprint":"s","choices":[{"index":0,"delta":{"content":"token "},"finish_reason":null}]}` + "\n")
 			checker := &answer.Checker{RequestID: "r", Set: "s"}
--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -90,6 +90,10 @@
 	beats  = 1
 )
 
+// changesPerRestart is the number of changes of the instance list that a restart
+// makes.
+const changesPerRestart = 2
+
 // slopes lists the fitted lines.
 func (m *model) slopes() string {
 	text := "## Slopes\n\nFitted to the fleets with 8 zones of \"make bench\" (TestTickets), against the\nnumber of processes.\n\n"
@@ -131,6 +135,8 @@
 		now := m.memory[role.figure]
 		text += row(role.name, "resident memory, whole process", mebibytes(now), mebibytes(now+growth), mebibytes(budgetMemoryBytes), verdict(now+growth, budgetMemoryBytes), "measured under the demo's load, with the runtime, connections and requests; the budget is for control alone")
 	}
+	changes := func(size Size) float64 { return size.RestartsDay * changesPerRestart / 86400 * m.costs["listChange"] }
+	text += row("entry or agent", "instance list changes, share of a core", share(changes(today)), share(changes(planned)), share(budgetCoreShare), verdict(changes(planned), budgetCoreShare), "internal/roster; the place in the tree is computed once for each change")
 	core := (fanOut+1)*beats*m.costs["controlCall"] + planned.TicketsDay/86400*m.costs["applyTicket"]
 	text += row("relay", "share of a core", share(beats*m.costs["controlCall"]), share(core), share(budgetCoreShare), verdict(core, budgetCoreShare), "internal/control, internal/state")
 	reader := m.calls.at(planned.Processes())*2*m.costs["controlCall"] + core
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -25,7 +25,7 @@
 	var preferredAt time.Time
 	for ctx.Err() == nil {
 		view := r.Roster.View()
-		at := placeOf(view, r.Self)
+		at := r.place()
 		if at.reader || len(at.parents) == 0 {
 			duty.Sleep(ctx, retryPause)
 			continue
--- a/internal/relay/reader.go
+++ b/internal/relay/reader.go
@@ -49,7 +49,7 @@
 func (r *Relay) read(ctx context.Context) {
 	at := cursor{revision: unread}
 	for ctx.Err() == nil {
-		if !placeOf(r.Roster.View(), r.Self).reader {
+		if !r.place().reader {
 			r.reading.Store(false)
 			at.revision = unread
 			duty.Sleep(ctx, retryPause)
@@ -106,7 +106,7 @@
 // vouch pulls from other readers, then starts a beat. A reader vouches for its
 // own zone once it has caught up: with the object API, or with other zones.
 func (r *Relay) vouch(ctx context.Context) {
-	at := placeOf(r.Roster.View(), r.Self)
+	at := r.place()
 	if !at.reader {
 		return
 	}
@@ -170,7 +170,7 @@
 		return
 	}
 	upTo := r.State.Snapshot().UpTo()
-	for _, peer := range placeOf(r.Roster.View(), r.Self).parents {
+	for _, peer := range r.place().parents {
 		if peer.AvailabilityZone == r.Self.AvailabilityZone {
 			upTo = min(upTo, r.peers.get(peer.Name))
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -69,6 +69,7 @@
 	reading  atomic.Bool
 	peers    peerProgress
 	seat     readership
+	placed   atomic.Pointer[placed]
 	// listRead is when the instance list was read last, in Unix nanoseconds.
 	listRead atomic.Int64
 	// vouches counts the rounds; only vouch uses it.
@@ -106,7 +107,7 @@
 func (r *Relay) readList(ctx context.Context) {
 	view := r.Roster.View()
 	_, listed := view.Instance(r.Self.Name)
-	if listed && !placeOf(view, r.Self).reader {
+	if listed && !r.place().reader {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -123,7 +124,7 @@
 // process is a reader now.
 func (r *Relay) mergeRoster(changed []roster.Instance, version int64) {
 	r.Roster.Merge(changed, version)
-	r.seat.observe(placeOf(r.Roster.View(), r.Self).reader)
+	r.seat.observe(r.place().reader)
 }
 
 // advance starts a new beat, which answers the waiting children.
--- a/internal/relay/tree.go
+++ b/internal/relay/tree.go
@@ -31,6 +31,23 @@
 	parents []roster.Instance
 }
 
+// placed is the place of this process in the tree of one view.
+type placed struct {
+	view *roster.View
+	at   place
+}
+
+// place returns where this process stands in the newest instance list.
+func (r *Relay) place() place {
+	view := r.Roster.View()
+	if held := r.placed.Load(); held != nil && held.view == view {
+		return held.at
+	}
+	at := placeOf(view, r.Self)
+	r.placed.Store(&placed{view: view, at: at})
+	return at
+}
+
 // placeOf computes the place of self. A process that is not in the list yet
 // is a leaf that pulls from its zone's readers.
 func placeOf(view *roster.View, self roster.Instance) place {
@@ -72,13 +89,7 @@
 
 // rankZone orders the live instances of a zone.
 func rankZone(view *roster.View, zone string) []roster.Instance {
-	var members []roster.Instance
-	for _, instance := range view.Live() {
-		if instance.AvailabilityZone == zone {
-			members = append(members, instance)
-		}
-	}
-	return roster.Rank("relay/"+zone, members)
+	return roster.Rank("relay/"+zone, view.Zone(zone))
 }
 
 // readersExcept returns the readers of every zone but self, one's own zone
@@ -86,8 +97,7 @@
 func readersExcept(view *roster.View, self roster.Instance) []roster.Instance {
 	var near, far []roster.Instance
 	for _, zone := range view.Zones() {
-		ranked := rankZone(view, zone)
-		for _, reader := range ranked[:min(ReadersPerZone, len(ranked))] {
+		for _, reader := range roster.Top("relay/"+zone, view.Zone(zone), ReadersPerZone) {
 			switch {
 			case reader.Name == self.Name:
 			case zone == self.AvailabilityZone:
--- /dev/null
+++ b/internal/relay/tree_test.go
@@ -0,0 +1,74 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/mimosaward/mimosaward/internal/roster"
+)
+
+// fleet returns live instances spread over zones.
+func fleet(count, zones int) *roster.View {
+	var list []roster.Instance
+	for index := range count {
+		list = append(list, roster.Instance{
+			Name: fmt.Sprintf("instance-%05d", index), Role: roster.AgentRole, Status: roster.Live,
+			AvailabilityZone: fmt.Sprint("zone-", index%zones), Version: int64(index + 1),
+		})
+	}
+	return roster.NewView().With(list, int64(count))
+}
+
+// Each process finds its parent on its own; together they make one tree for each
+// zone in which no process has more children than it can serve.
+func TestTreeIsBounded(t *testing.T) {
+	const zones = 2
+	for _, count := range []int{2, 7, 40, 300} {
+		view := fleet(count, zones)
+		children := map[string]int{}
+		readers := map[string]bool{}
+		for index := range count {
+			self, _ := view.Instance(fmt.Sprintf("instance-%05d", index))
+			at := placeOf(view, self)
+			if at.reader {
+				readers[self.Name] = true
+				continue
+			}
+			parent := at.parents[0]
+			if parent.AvailabilityZone != self.AvailabilityZone {
+				t.Errorf("%s in %s pulls from %s", self.Name, self.AvailabilityZone, parent.AvailabilityZone)
+			}
+			children[parent.Name]++
+		}
+		if want := min(count, zones*ReadersPerZone); len(readers) != want {
+			t.Errorf("%d instances have %d readers, want %d", count, len(readers), want)
+		}
+		for name, have := range children {
+			limit := FanOut
+			if readers[name] {
+				limit = ReaderFanOut
+			}
+			if have > limit {
+				t.Errorf("%s has %d children, at most %d", name, have, limit)
+			}
+		}
+	}
+}
+
+// The place is looked up at each beat and pull, so it must cost nothing while
+// the instance list stays the same.
+func TestPlaceIsComputedOncePerView(t *testing.T) {
+	holder := roster.NewHolder()
+	view := fleet(300, 3)
+	holder.Merge(view.ChangedSince(0), view.Version())
+	self, _ := view.Instance("instance-00007")
+	relay := &Relay{Roster: holder, Self: self}
+	if allocations := testing.AllocsPerRun(100, func() { relay.place() }); allocations > 0 {
+		t.Errorf("looking up an unchanged place allocates %g times, want 0", allocations)
+	}
+	self.Status, self.Version = roster.Gone, view.Version()+1
+	holder.Merge([]roster.Instance{self}, self.Version)
+	if at := relay.place(); at.reader || at.relays {
+		t.Errorf("place of an instance that is gone: %+v", at)
+	}
+}
--- /dev/null
+++ b/internal/roster/rank.go
@@ -0,0 +1,69 @@
+package roster
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Rank orders instances by rendezvous hash for key: every process that holds
+// the same list computes the same order, and one instance more or less moves
+// only its own place.
+func Rank(key string, instances []Instance) []Instance {
+	type scored struct {
+		score    uint64
+		instance Instance
+	}
+	scores := make([]scored, 0, len(instances))
+	for _, instance := range instances {
+		scores = append(scores, scored{score: Score(key, instance.Name), instance: instance})
+	}
+	slices.SortFunc(scores, func(a, b scored) int {
+		if a.score != b.score {
+			if a.score > b.score {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(a.instance.Name, b.instance.Name)
+	})
+	ranked := make([]Instance, 0, len(scores))
+	for _, s := range scores {
+		ranked = append(ranked, s.instance)
+	}
+	return ranked
+}
+
+// Top returns the first count instances of Rank, in the same order, without
+// ordering the others.
+func Top(key string, instances []Instance, count int) []Instance {
+	var top []Instance
+	for _, instance := range instances {
+		place := len(top)
+		for place > 0 && before(key, instance, top[place-1]) {
+			place--
+		}
+		if place < count {
+			top = slices.Insert(top, place, instance)
+			top = top[:min(count, len(top))]
+		}
+	}
+	return top
+}
+
+// before reports whether Rank puts a in front of b.
+func before(key string, a, b Instance) bool {
+	scoreA, scoreB := Score(key, a.Name), Score(key, b.Name)
+	return scoreA > scoreB || (scoreA == scoreB && a.Name < b.Name)
+}
+
+// Score returns the rendezvous weight of an instance for key.
+func Score(key, instance string) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(key)
+	_, _ = digest.WriteString("\x00")
+	_, _ = digest.WriteString(instance)
+	return digest.Sum64()
+}
--- a/internal/roster/view.go
+++ b/internal/roster/view.go
@@ -1,19 +1,24 @@
 package roster
 
 import (
-	"maps"
 	"slices"
 	"strings"
-
-	"github.com/cespare/xxhash/v2"
+	"sync"
 )
 
-// View is an immutable picture of the instance list. A nil View is empty.
+// View is an immutable picture of the instance list. It is safe for concurrent
+// use. Callers must not change the slices that it returns.
 type View struct {
-	version   int64
-	instances map[string]Instance
-	byPool    map[string][]Instance
-	live      []Instance
+	version int64
+	// records are ordered by name.
+	records []Instance
+	zones   []string
+
+	mu sync.Mutex
+	// pools and entries are computed when they are first asked for, since a
+	// process uses few of them.
+	pools   map[string][]Instance
+	entries []Instance
 }
 
 // NewView returns an empty view.
@@ -23,59 +28,87 @@
 func (v *View) Version() int64 { return v.version }
 
 // Len returns the number of records, gone ones included.
-func (v *View) Len() int { return len(v.instances) }
+func (v *View) Len() int { return len(v.records) }
 
 // Instance returns the named record.
 func (v *View) Instance(name string) (Instance, bool) {
-	found, ok := v.instances[name]
-	return found, ok
+	index, found := slices.BinarySearchFunc(v.records, name, compareName)
+	if !found {
+		return Instance{}, false
+	}
+	return v.records[index], true
 }
 
-// Live returns the live instances, ordered by name. Callers must not change it.
-func (v *View) Live() []Instance { return v.live }
+func compareName(instance Instance, name string) int { return strings.Compare(instance.Name, name) }
+
+// Zone returns the live instances of an availability zone, ordered by name.
+func (v *View) Zone(zone string) []Instance {
+	return v.filter(func(instance *Instance) bool { return instance.AvailabilityZone == zone })
+}
 
-// Pool returns the live agents of a pool, ordered by name. Callers must not
-// change it.
-func (v *View) Pool(name string) []Instance { return v.byPool[name] }
+// Pool returns the live agents of a pool, ordered by name.
+func (v *View) Pool(name string) []Instance {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	members, known := v.pools[name]
+	if known {
+		return members
+	}
+	members = v.filter(func(instance *Instance) bool { return instance.Role == AgentRole && instance.Pool == name })
+	if v.pools == nil {
+		v.pools = map[string][]Instance{}
+	}
+	v.pools[name] = members
+	return members
+}
 
 // Entries returns the live entries, ordered by name.
 func (v *View) Entries() []Instance {
-	var entries []Instance
-	for _, instance := range v.live {
-		if instance.Role == EntryRole {
-			entries = append(entries, instance)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.entries == nil {
+		v.entries = v.filter(func(instance *Instance) bool { return instance.Role == EntryRole })
+	}
+	return v.entries
+}
+
+// filter returns the live instances that match.
+func (v *View) filter(match func(instance *Instance) bool) []Instance {
+	count := 0
+	for index := range v.records {
+		if record := &v.records[index]; record.Status == Live && match(record) {
+			count++
+		}
+	}
+	found := make([]Instance, 0, count)
+	for index := range v.records {
+		if record := &v.records[index]; record.Status == Live && match(record) {
+			found = append(found, *record)
 		}
 	}
-	return entries
+	return found
 }
 
-// ChangedSince returns the records that changed after version.
+// ChangedSince returns the records that changed after version, ordered by name.
 func (v *View) ChangedSince(version int64) []Instance {
 	var changed []Instance
-	for _, instance := range v.instances {
-		if instance.Version > version {
-			changed = append(changed, instance)
+	for _, record := range v.records {
+		if record.Version > version {
+			changed = append(changed, record)
 		}
 	}
-	slices.SortFunc(changed, func(a, b Instance) int { return strings.Compare(a.Name, b.Name) })
 	return changed
 }
 
 // With returns a view with the changed records and the new version. A record
 // that is older than the one held is ignored.
 func (v *View) With(changed []Instance, version int64) *View {
-	next := &View{version: max(v.version, version), instances: maps.Clone(v.instances)}
-	if next.instances == nil {
-		next.instances = make(map[string]Instance, len(changed))
-	}
-	for _, instance := range changed {
-		if held, ok := next.instances[instance.Name]; ok && held.Version >= instance.Version {
-			continue
-		}
-		next.instances[instance.Name] = instance
-	}
-	next.prune()
-	next.index()
+	next := &View{version: max(v.version, version)}
+	next.records = merge(v.records, newest(changed))
+	next.records = slices.DeleteFunc(next.records, func(record Instance) bool {
+		return record.Status == Gone && record.Version+goneKept < next.version
+	})
+	next.zones = next.liveZones()
 	return next
 }
 
@@ -83,76 +116,50 @@
 // is kept, so that deletions reach every process.
 const goneKept = 10_000
 
-// prune drops the records of instances that went long ago.
-func (v *View) prune() {
-	for name, instance := range v.instances {
-		if instance.Status == Gone && instance.Version+goneKept < v.version {
-			delete(v.instances, name)
+// newest orders records by name and keeps the newest of each name.
+func newest(records []Instance) []Instance {
+	ordered := slices.Clone(records)
+	slices.SortFunc(ordered, func(a, b Instance) int {
+		if byName := strings.Compare(a.Name, b.Name); byName != 0 {
+			return byName
 		}
-	}
+		return int(b.Version - a.Version)
+	})
+	return slices.CompactFunc(ordered, func(a, b Instance) bool { return a.Name == b.Name })
 }
 
-func (v *View) index() {
-	v.byPool = map[string][]Instance{}
-	for _, instance := range v.instances {
-		if instance.Status == Live {
-			v.live = append(v.live, instance)
-		}
-	}
-	slices.SortFunc(v.live, func(a, b Instance) int { return strings.Compare(a.Name, b.Name) })
-	for _, instance := range v.live {
-		if instance.Role == AgentRole {
-			v.byPool[instance.Pool] = append(v.byPool[instance.Pool], instance)
+// merge joins two ordered lists. Of two records with one name the newer counts;
+// the one held, if both are of the same version.
+func merge(held, changed []Instance) []Instance {
+	merged := make([]Instance, 0, len(held)+len(changed))
+	for len(held) > 0 && len(changed) > 0 {
+		switch order := strings.Compare(held[0].Name, changed[0].Name); {
+		case order < 0:
+			merged, held = append(merged, held[0]), held[1:]
+		case order > 0:
+			merged, changed = append(merged, changed[0]), changed[1:]
+		default:
+			if changed[0].Version <= held[0].Version {
+				changed[0] = held[0]
+			}
+			held = held[1:]
 		}
 	}
+	merged = append(merged, held...)
+	return append(merged, changed...)
 }
 
 // Zones returns the availability zones that have a live instance, in order.
-func (v *View) Zones() []string {
+func (v *View) Zones() []string { return v.zones }
+
+func (v *View) liveZones() []string {
 	var zones []string
-	for _, instance := range v.live {
-		if !slices.Contains(zones, instance.AvailabilityZone) {
-			zones = append(zones, instance.AvailabilityZone)
+	for index := range v.records {
+		record := &v.records[index]
+		if record.Status == Live && !slices.Contains(zones, record.AvailabilityZone) {
+			zones = append(zones, record.AvailabilityZone)
 		}
 	}
 	slices.Sort(zones)
 	return zones
 }
-
-// Rank orders instances by rendezvous hash for key: every process that holds
-// the same list computes the same order, and one instance more or less moves
-// only its own place.
-func Rank(key string, instances []Instance) []Instance {
-	type scored struct {
-		score    uint64
-		instance Instance
-	}
-	scores := make([]scored, 0, len(instances))
-	for _, instance := range instances {
-		scores = append(scores, scored{score: Score(key, instance.Name), instance: instance})
-	}
-	slices.SortFunc(scores, func(a, b scored) int {
-		if a.score != b.score {
-			if a.score > b.score {
-				return -1
-			}
-			return 1
-		}
-		return strings.Compare(a.instance.Name, b.instance.Name)
-	})
-	ranked := make([]Instance, 0, len(scores))
-	for _, s := range scores {
-		ranked = append(ranked, s.instance)
-	}
-	return ranked
-}
-
-// Score returns the rendezvous weight of an instance for key.
-func Score(key, instance string) uint64 {
-	var digest xxhash.Digest
-	digest.Reset()
-	_, _ = digest.WriteString(key)
-	_, _ = digest.WriteString("\x00")
-	_, _ = digest.WriteString(instance)
-	return digest.Sum64()
-}
--- a/internal/roster/view_test.go
+++ b/internal/roster/view_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"github.com/mimosaward/mimosaward/internal/roster"
 )
@@ -53,3 +54,38 @@
 		t.Errorf("view keeps %d records of instances that went", view.Len())
 	}
 }
+
+func TestTopIsTheStartOfRank(t *testing.T) {
+	var instances []roster.Instance
+	for index := range 40 {
+		instances = append(instances, roster.Instance{Name: fmt.Sprint("instance-", index)})
+	}
+	for key := range 50 {
+		for _, count := range []int{0, 1, 2, 7, 40} {
+			want := roster.Rank(fmt.Sprint(key), instances)[:count]
+			got := roster.Top(fmt.Sprint(key), instances, count)
+			if diff := cmp.Diff(want, got, cmpopts.EquateEmpty()); diff != "" {
+				t.Errorf("key %d, first %d (-want +got):\n%s", key, count, diff)
+			}
+		}
+	}
+}
+
+// Records arrive in any order, old ones among them; the newest of each name
+// counts.
+func TestNewestRecordsCount(t *testing.T) {
+	record := func(name string, version int64, status roster.Status) roster.Instance {
+		return roster.Instance{Name: name, Role: roster.EntryRole, AvailabilityZone: "zone-" + name, Status: status, Version: version}
+	}
+	view := roster.NewView().With([]roster.Instance{record("b", 2, roster.Live), record("a", 1, roster.Live)}, 2)
+	view = view.With([]roster.Instance{record("c", 4, roster.Live), record("b", 1, roster.Gone), record("a", 5, roster.Gone), record("a", 3, roster.Live)}, 5)
+	if diff := cmp.Diff([]roster.Instance{record("b", 2, roster.Live), record("c", 4, roster.Live)}, view.Entries()); diff != "" {
+		t.Errorf("entries (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]string{"zone-b", "zone-c"}, view.Zones()); diff != "" {
+		t.Errorf("zones (-want +got):\n%s", diff)
+	}
+	if gone, found := view.Instance("a"); !found || gone.Status != roster.Gone {
+		t.Errorf("record of an instance that is gone: %+v, %t", gone, found)
+	}
+}
