Keep an entry alive when a broken stream cannot be resumed

Cause: if an endpoint's answer ended after its header and the retry budget was used up, resuming gave the endpoint back and the handler then closed it again: a nil pointer, which ended the whole entry. Found by reading while writing the missing tests of retry budgets and callers' addresses.

Ruled out: a recover in the server, which would hide broken invariants.

Before: TestAnswerThatEndsAfterItsHeader ended the process. After: 60 drafts near such an endpoint are whole or end with an explicit error. New tests that had been missing: at most 250 engine requests for 200 drafts when every engine fails; addresses by zone, service, load and stops; answers that are sent twice.

Conclusion: giving an endpoint back is now one method that may be called twice.

--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -42,6 +42,7 @@
 	offer   *offer
 	message upstream.Request
 	checker *answer.Checker
+	// current is nil once a broken stream could not be resumed.
 	current *taken
 }
 
@@ -58,7 +59,7 @@
 	}
 	first, err := s.next()
 	if err != nil {
-		s.current.close()
+		s.leave()
 		r.finish(outcome.Unknown)
 		return r.refuse(c, unknown(err.Error()))
 	}
@@ -67,9 +68,7 @@
 	c.Set(fiber.HeaderContentType, "text/event-stream")
 	return c.SendStreamWriter(func(w *bufio.Writer) {
 		what := s.copy(w, first)
-		if s.current != nil {
-			s.current.close()
-		}
+		s.leave()
 		r.finish(what)
 	})
 }
@@ -138,15 +137,22 @@
 	}
 }
 
+// leave ends the exchange with the present endpoint, if there is one.
+func (s *stream) leave() {
+	if s.current != nil {
+		s.current.close()
+		s.current = nil
+	}
+}
+
 // resume continues the stream on another endpoint that serves the same weight
 // set, after the tokens that the caller holds. It reports false if that is not
 // possible.
 func (s *stream) resume(cause error) bool {
 	entry := s.request.entry
 	broken := s.current.endpoint.Name
-	s.current.close()
+	s.leave()
 	entry.router.Failed(broken)
-	s.current = nil
 	if !entry.budget.Retry() {
 		return false
 	}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -52,6 +52,8 @@
 	Cross int `json:"cross"`
 	// Cut is the number of next streams that end without an end marker.
 	Cut int `json:"cut"`
+	// Duplicate is the number of next answers that are sent twice.
+	Duplicate int `json:"duplicate"`
 	// SwapUnnoticed is the number of next answers made from other weights.
 	SwapUnnoticed int `json:"swapUnnoticed"`
 }
@@ -86,6 +88,7 @@
 	prompt    string
 	cold      bool
 	cut       bool
+	duplicate bool
 }
 
 // Load replaces the weights. It reports false if the fencing number is older
@@ -181,6 +184,10 @@
 		e.faults.Cut--
 		started.cut = true
 	}
+	if e.faults.Duplicate > 0 {
+		e.faults.Duplicate--
+		started.duplicate = true
+	}
 	if e.faults.SwapUnnoticed > 0 {
 		e.faults.SwapUnnoticed--
 		started.content = weights.Digest{}
--- a/internal/standin/enginehttp.go
+++ b/internal/standin/enginehttp.go
@@ -94,6 +94,9 @@
 	c.Set("Content-Type", "text/event-stream")
 	return c.SendStreamWriter(func(w *bufio.Writer) {
 		err := e.stream(w, started, request, resume)
+		if err == nil && started.duplicate {
+			err = e.stream(w, started, request, resume)
+		}
 		e.end(started, err != nil)
 	})
 }
