Write checkpoints in parts and read every page of tickets

Cause: a checkpoint was one object. With 15,000 named endpoints it passed the object API's 1 MiB and was never written again, and nobody was told. Found by reading the limits that CAPACITY.md named.

Ruled out: compressing the one object (moves the bound by a factor); a part for each kind of scope (the endpoints are almost all of it).

After: 18,000 endpoints load whole, 2,100 tickets without a checkpoint load whole and the next one is filed. With only the first page read the test of it fails again.

Conclusion: a head names parts of 256 KiB; readers that write the same checkpoint write the same parts.

--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -45,8 +45,6 @@
 - Resident memory was measured at the demo's size; at the planned size the growth of
   the instance list and the scopes is added, but not that of connections.
 - Processor time was measured on one machine, with other work on it.
-- The checkpoint is one object of at most 1 MiB. With the measured size of a
-  scope it holds some thousands of scopes; it is not split yet.
 - Filed tickets stay in the object API for "ticket show"; nothing deletes old ones.
 - A process that takes over a range of idempotency keys reads its segments first;
   calls of that range are refused "not run" meanwhile.
--- /dev/null
+++ b/internal/filing/ack.go
@@ -0,0 +1,62 @@
+package filing
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mimosaward/mimosaward/internal/platform"
+)
+
+// WriteAck records that the readers of a zone hold everything up to upTo. A
+// lower number never replaces a higher one.
+func (d *Desk) WriteAck(ctx context.Context, ack Ack) error {
+	ack.At = time.Now().UTC()
+	var held Ack
+	object, err := d.Objects.Get(ctx, AckPrefix+ack.Zone)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return err
+	}
+	if err == nil {
+		if err := json.Unmarshal(object.Value, &held); err != nil {
+			return errors.Wrapf(err, "decode acknowledgement of %s", ack.Zone)
+		}
+	}
+	if held.UpTo >= ack.UpTo {
+		return nil
+	}
+	_, err = d.Objects.Put(ctx, AckPrefix+ack.Zone, object.Version, ack)
+	return err
+}
+
+// Acks returns the acknowledgements of every zone.
+func (d *Desk) Acks(ctx context.Context) ([]Ack, error) {
+	page, err := d.Objects.List(ctx, AckPrefix, "")
+	if err != nil {
+		return nil, err
+	}
+	acks := make([]Ack, 0, len(page.Objects))
+	for _, object := range page.Objects {
+		var ack Ack
+		if err := json.Unmarshal(object.Value, &ack); err != nil {
+			return nil, errors.Wrapf(err, "decode %s", object.Key)
+		}
+		acks = append(acks, ack)
+	}
+	return acks, nil
+}
+
+// InForce reports whether a majority of the zones acknowledged the ticket.
+func InForce(number int64, zones []string, acks []Ack) bool {
+	holding := 0
+	for _, zone := range zones {
+		for _, ack := range acks {
+			if ack.Zone == zone && ack.UpTo >= number {
+				holding++
+			}
+		}
+	}
+	return 2*holding > len(zones)
+}
--- a/internal/filing/checkpoint.go
+++ b/internal/filing/checkpoint.go
@@ -3,14 +3,21 @@
 import (
 	"context"
 	"encoding/json"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/mimosaward/mimosaward/internal/platform"
+	"github.com/mimosaward/mimosaward/internal/size"
 	"github.com/mimosaward/mimosaward/internal/state"
 )
 
+const (
+	// partBytes is the size from which a part of a checkpoint is closed.
+	partBytes = 256 * size.KiB
+	// partVersion is the version of a part's object, which is written once.
+	partVersion = 1
+)
+
 // readCheckpoint returns the newest checkpoint and its object version, or an
 // empty one.
 func (d *Desk) readCheckpoint(ctx context.Context) (checkpoint, int64, error) {
@@ -28,6 +35,24 @@
 	return held, object.Version, nil
 }
 
+// readParts returns the scopes of a checkpoint. The error is ErrNotFound if a
+// newer checkpoint has replaced it meanwhile.
+func (d *Desk) readParts(ctx context.Context, held checkpoint) ([]state.Entry, error) {
+	var entries []state.Entry
+	for part := range held.Parts {
+		object, err := d.Objects.Get(ctx, partKey(held.UpTo, part))
+		if err != nil {
+			return nil, err
+		}
+		var read checkpointPart
+		if err := json.Unmarshal(object.Value, &read); err != nil {
+			return nil, errors.Wrapf(err, "decode %s", object.Key)
+		}
+		entries = append(entries, read.Entries...)
+	}
+	return entries, nil
+}
+
 // WriteCheckpoint stores the snapshot if the stored checkpoint is old enough.
 // Several readers may try; the conditional update lets one through and a
 // checkpoint never goes back.
@@ -36,65 +61,74 @@
 	if err != nil || snapshot.UpTo() < held.UpTo+checkpointInterval {
 		return err
 	}
-	next := checkpoint{UpTo: snapshot.UpTo(), Entries: snapshot.Entries(0)}
+	next, err := d.writeParts(ctx, snapshot)
+	if err != nil {
+		return err
+	}
 	_, err = d.Objects.Put(ctx, checkpointKey, version, next)
-	if errors.Is(err, platform.ErrConflict) {
-		return nil
+	switch {
+	case err == nil:
+		return d.deleteParts(ctx, held)
+	case !errors.Is(err, platform.ErrConflict):
+		return err
 	}
-	return err
+	// Another reader was first. Its parts are these if it wrote up to the same
+	// ticket, and these are of no use otherwise.
+	winner, _, err := d.readCheckpoint(ctx)
+	if err != nil || winner.UpTo == next.UpTo {
+		return err
+	}
+	return d.deleteParts(ctx, next)
 }
 
-// CheckpointDue reports whether a snapshot is far enough after the checkpoint
-// at held to be worth a call.
-func CheckpointDue(held, upTo int64) bool { return upTo >= held+checkpointInterval }
-
-// WriteAck records that the readers of a zone hold everything up to upTo. A
-// lower number never replaces a higher one.
-func (d *Desk) WriteAck(ctx context.Context, ack Ack) error {
-	ack.At = time.Now().UTC()
-	var held Ack
-	object, err := d.Objects.Get(ctx, AckPrefix+ack.Zone)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		return err
+// writeParts stores the scopes of a snapshot.
+func (d *Desk) writeParts(ctx context.Context, snapshot *state.Snapshot) (checkpoint, error) {
+	parts, err := splitParts(snapshot.Entries(0))
+	if err != nil {
+		return checkpoint{}, err
 	}
-	if err == nil {
-		if err := json.Unmarshal(object.Value, &held); err != nil {
-			return errors.Wrapf(err, "decode acknowledgement of %s", ack.Zone)
+	for index, part := range parts {
+		_, err := d.Objects.Put(ctx, partKey(snapshot.UpTo(), index), 0, part)
+		if err != nil && !errors.Is(err, platform.ErrConflict) {
+			return checkpoint{}, err
 		}
 	}
-	if held.UpTo >= ack.UpTo {
-		return nil
-	}
-	_, err = d.Objects.Put(ctx, AckPrefix+ack.Zone, object.Version, ack)
-	return err
+	return checkpoint{UpTo: snapshot.UpTo(), Parts: len(parts)}, nil
 }
 
-// Acks returns the acknowledgements of every zone.
-func (d *Desk) Acks(ctx context.Context) ([]Ack, error) {
-	page, err := d.Objects.List(ctx, AckPrefix, "")
-	if err != nil {
-		return nil, err
-	}
-	acks := make([]Ack, 0, len(page.Objects))
-	for _, object := range page.Objects {
-		var ack Ack
-		if err := json.Unmarshal(object.Value, &ack); err != nil {
-			return nil, errors.Wrapf(err, "decode %s", object.Key)
+// splitParts deals scopes to parts that each fit into one object.
+func splitParts(entries []state.Entry) ([]checkpointPart, error) {
+	var parts []checkpointPart
+	var open checkpointPart
+	var bytes size.Bytes
+	for _, entry := range entries {
+		text, err := json.Marshal(entry)
+		if err != nil {
+			return nil, errors.Wrapf(err, "encode scope %s", entry.Scope)
+		}
+		open.Entries = append(open.Entries, entry)
+		if bytes += size.Bytes(len(text)); bytes >= partBytes {
+			parts = append(parts, open)
+			open, bytes = checkpointPart{}, 0
 		}
-		acks = append(acks, ack)
 	}
-	return acks, nil
+	if len(open.Entries) > 0 {
+		parts = append(parts, open)
+	}
+	return parts, nil
 }
 
-// InForce reports whether a majority of the zones acknowledged the ticket.
-func InForce(number int64, zones []string, acks []Ack) bool {
-	holding := 0
-	for _, zone := range zones {
-		for _, ack := range acks {
-			if ack.Zone == zone && ack.UpTo >= number {
-				holding++
-			}
+// deleteParts removes the parts of a checkpoint that was replaced.
+func (d *Desk) deleteParts(ctx context.Context, replaced checkpoint) error {
+	for part := range replaced.Parts {
+		err := d.Objects.Delete(ctx, partKey(replaced.UpTo, part), partVersion)
+		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+			return err
 		}
 	}
-	return 2*holding > len(zones)
+	return nil
 }
+
+// CheckpointDue reports whether a snapshot is far enough after the checkpoint
+// at held to be worth a call.
+func CheckpointDue(held, upTo int64) bool { return upTo >= held+checkpointInterval }
--- /dev/null
+++ b/internal/filing/checkpoint_test.go
@@ -0,0 +1,111 @@
+package filing_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/mimosaward/mimosaward/internal/filing"
+	"github.com/mimosaward/mimosaward/internal/standin"
+	"github.com/mimosaward/mimosaward/internal/state"
+	"github.com/mimosaward/mimosaward/pkg/ticket"
+)
+
+// fileAll files tickets and returns the configuration that they make. Each call
+// of after sees it once more.
+func fileAll(t *testing.T, desk *filing.Desk, tickets []ticket.Ticket, after func(snapshot *state.Snapshot)) *state.Snapshot {
+	t.Helper()
+	snapshot := &state.Snapshot{}
+	for index, filed := range tickets {
+		record, err := desk.File(t.Context(), filed, fmt.Sprint("op-", index))
+		if err != nil {
+			t.Fatal(err)
+		}
+		snapshot = snapshot.With(state.FromTicket(&record.Ticket), record.Ticket.Number)
+		after(snapshot)
+	}
+	return snapshot
+}
+
+func checkpointEach(t *testing.T, desk *filing.Desk) func(snapshot *state.Snapshot) {
+	return func(snapshot *state.Snapshot) {
+		if err := desk.WriteCheckpoint(t.Context(), snapshot); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// requireLoaded compares what a starting reader loads with the configuration.
+func requireLoaded(t *testing.T, desk *filing.Desk, want *state.Snapshot) {
+	t.Helper()
+	loaded, err := desk.Load(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := (&state.Snapshot{}).With(loaded.Entries, loaded.UpTo)
+	if diff := cmp.Diff(want.Entries(0), got.Entries(0)); diff != "" || got.UpTo() != want.UpTo() {
+		t.Errorf("configuration up to %d, want %d (-want +got):\n%s", got.UpTo(), want.UpTo(), diff[:min(len(diff), 2000)])
+	}
+}
+
+// A checkpoint and the tickets after it give the same configuration as all
+// tickets.
+func TestCheckpointKeepsTheConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		desk := newDesk(standin.NewObjectStore())
+		var tickets []ticket.Ticket
+		for index := range 150 {
+			tickets = append(tickets, zoneTicket("aya", fmt.Sprint("zone-", index%7), 0))
+		}
+		requireLoaded(t, desk, fileAll(t, desk, tickets, checkpointEach(t, desk)))
+	})
+}
+
+// endpointTickets name so many endpoints that no single object holds them all.
+func endpointTickets(count int) []ticket.Ticket {
+	var tickets []ticket.Ticket
+	for index := range count {
+		filed := ticket.Ticket{Operator: "aya"}
+		for endpoint := range 180 {
+			filed.Endpoints = append(filed.Endpoints, ticket.Endpoint{Name: fmt.Sprintf("endpoint-of-a-long-name-%05d-%02d", index, endpoint), TakesWork: true})
+		}
+		tickets = append(tickets, filed)
+	}
+	return tickets
+}
+
+func TestCheckpointOutgrowsOneObject(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		objects := standin.NewObjectStore()
+		desk := newDesk(objects)
+		requireLoaded(t, desk, fileAll(t, desk, endpointTickets(100), checkpointEach(t, desk)))
+		if parts := objects.Stored("checkpoint"); parts > 30 {
+			t.Errorf("%d objects of checkpoints are kept", parts)
+		}
+	})
+}
+
+// More tickets than one answer of the object API lists, and no checkpoint.
+func TestLoadReadsEveryPage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const count = 2100
+		desk := newDesk(standin.NewObjectStore())
+		want := &state.Snapshot{}
+		for number := int64(1); number <= count; number++ {
+			record := filing.Record{OperationID: fmt.Sprint("op-", number), Ticket: zoneTicket("aya", fmt.Sprint("zone-", number%7), number)}
+			if _, err := desk.Objects.Put(t.Context(), filing.TicketKey(number), 0, record); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(10 * time.Millisecond)
+			want = want.With(state.FromTicket(&record.Ticket), number)
+		}
+		requireLoaded(t, desk, want)
+		filed, err := desk.File(t.Context(), zoneTicket("aya", "zone-1", 0), "last")
+		if err != nil || filed.Ticket.Number != count+1 {
+			t.Errorf("filed ticket %d, want %d: %v", filed.Ticket.Number, count+1, err)
+		}
+	})
+}
--- a/internal/filing/desk.go
+++ b/internal/filing/desk.go
@@ -41,8 +41,12 @@
 	if err != nil {
 		return Loaded{}, err
 	}
-	loaded := Loaded{UpTo: held.UpTo, Entries: held.Entries}
-	page, err := d.Objects.List(ctx, TicketPrefix, TicketKey(held.UpTo))
+	entries, err := d.readParts(ctx, held)
+	if err != nil {
+		return Loaded{}, err
+	}
+	loaded := Loaded{UpTo: held.UpTo, Entries: entries}
+	page, err := d.Objects.ListAll(ctx, TicketPrefix, TicketKey(held.UpTo))
 	if err != nil {
 		return Loaded{}, err
 	}
@@ -140,7 +144,7 @@
 	}
 	// Own writes whose answers were lost may precede the checkpoint.
 	after := max(0, held.UpTo-checkpointInterval)
-	page, err := d.Objects.List(ctx, TicketPrefix, TicketKey(after))
+	page, err := d.Objects.ListAll(ctx, TicketPrefix, TicketKey(after))
 	if err != nil {
 		return Record{}, err
 	}
--- a/internal/filing/record.go
+++ b/internal/filing/record.go
@@ -23,6 +23,8 @@
 	// AckPrefix precedes the name of an availability zone.
 	AckPrefix     = "acks/"
 	checkpointKey = "checkpoint"
+	// partPrefix precedes the ticket number and the number of a part.
+	partPrefix = "checkpointParts/"
 )
 
 // Record is a ticket as it is stored. OperationID identifies the write, so that
@@ -41,13 +43,21 @@
 	At       time.Time `json:"at"`
 }
 
-// checkpoint is the whole configuration up to one ticket.
+// checkpoint names the parts that hold the whole configuration up to one ticket.
 type checkpoint struct {
-	UpTo    int64         `json:"upTo"`
+	UpTo  int64 `json:"upTo"`
+	Parts int   `json:"parts"`
+}
+
+// checkpointPart is an object with some scopes of a checkpoint. The parts of one
+// ticket number are always the same, since tickets are totally ordered.
+type checkpointPart struct {
 	Entries []state.Entry `json:"entries"`
 }
 
 // TicketKey returns the key of a ticket; keys sort like numbers.
 func TicketKey(number int64) string { return fmt.Sprintf("%s%012d", TicketPrefix, number) }
 
+func partKey(upTo int64, part int) string { return fmt.Sprintf("%s%012d/%03d", partPrefix, upTo, part) }
+
 func isTicketKey(key string) bool { return strings.HasPrefix(key, TicketPrefix) }
--- a/internal/platform/objectapi.go
+++ b/internal/platform/objectapi.go
@@ -42,10 +42,11 @@
 }
 
 // Page is the answer to a list or a watch. Revision is the store's revision
-// when it answered.
+// when it answered. More is true if a list has objects after these.
 type Page struct {
 	Objects  []Object `json:"objects"`
 	Revision int64    `json:"revision"`
+	More     bool     `json:"more,omitempty"`
 }
 
 // ObjectAPI calls the object API. Set the fields before the first call; the
@@ -98,7 +99,22 @@
 	return errors.Wrapf(err, "delete object %s", key)
 }
 
-// List returns the objects below prefix whose keys are greater than after.
+// ListAll returns the objects below prefix whose keys are greater than after,
+// read page by page. The revision is that of the first page, so that a watch from
+// it misses nothing.
+func (o *ObjectAPI) ListAll(ctx context.Context, prefix, after string) (Page, error) {
+	all, err := o.List(ctx, prefix, after)
+	for more := all.More; more && err == nil; {
+		var next Page
+		next, err = o.List(ctx, prefix, all.Objects[len(all.Objects)-1].Key)
+		all.Objects = append(all.Objects, next.Objects...)
+		more = next.More && len(next.Objects) > 0
+	}
+	all.More = false
+	return all, err
+}
+
+// List returns the first objects below prefix whose keys are greater than after.
 func (o *ObjectAPI) List(ctx context.Context, prefix, after string) (Page, error) {
 	o.reads.Add(1)
 	query := url.Values{"prefix": {prefix}, "after": {after}}
--- a/internal/standin/objectstore.go
+++ b/internal/standin/objectstore.go
@@ -229,6 +229,7 @@
 	defer s.mu.Unlock()
 	page := platform.Page{Revision: s.revision, Objects: s.matching(prefix, after, 0)}
 	slices.SortFunc(page.Objects, func(a, b platform.Object) int { return strings.Compare(a.Key, b.Key) })
+	page.More = len(page.Objects) > maxListed
 	page.Objects = page.Objects[:min(len(page.Objects), maxListed)]
 	return encode(page)
 }
