Bound what manifests and endpoints can make a process hold

Cause: found by reading for panics that input can cause. A manifest that names a chunk larger than it allows passed the check of the memory limit, and the chunk's arrival ended the agent by the store's own assertion, on every instance of the pool. A line or body of an endpoint's answer had no bound at all.

Ruled out: an error instead of the assertion; the need is now an upper bound by construction, so the assertion holds again for every input.

Before: the test of the manifest ended with "chunk memory holds 14 bytes, the limit is 8"; 20 MiB of one line were read. After: ErrCorrupt; an error after 1 MiB of a line and 16 MiB of a body. The last chunk of a part counts as whole, so a set may be refused that is smaller than the limit by less than a chunk for each part.

Conclusion: sizes are checked where they come in.

--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -63,7 +63,7 @@
 	if _, known := r.snapshot.Workspace(r.workspace); known {
 		return r.workspace
 	}
-	return "other"
+	return meter.OtherWorkspace
 }
 
 // refusal is an answer that is not whole.
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -24,7 +24,10 @@
 )
 
 const (
+	// maxBodyBytes and maxLineBytes bound what a next hop can make this process
+	// hold.
 	maxBodyBytes    = 16 << 20
+	maxLineBytes    = 1 << 20
 	maxIdleDuration = 10 * time.Second
 	readBufferBytes = 16 << 10
 )
@@ -136,11 +139,20 @@
 	if r.reader == nil {
 		return nil, io.EOF
 	}
-	line, err := r.reader.ReadBytes('\n')
-	if err != nil && !errors.Is(err, io.EOF) {
-		return line, errors.Mark(err, ErrNoAnswer)
+	var line []byte
+	for {
+		part, err := r.reader.ReadSlice('\n')
+		line = append(line, part...)
+		switch {
+		case len(line) > maxLineBytes:
+			return nil, errors.Mark(errors.Newf("a line of the answer has more than %d bytes", maxLineBytes), ErrNoAnswer)
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case err != nil && !errors.Is(err, io.EOF):
+			return line, errors.Mark(err, ErrNoAnswer)
+		}
+		return line, err
 	}
-	return line, err
 }
 
 // Body reads the whole body.
@@ -148,7 +160,10 @@
 	if r.reader == nil {
 		return append([]byte(nil), r.response.Body()...), nil
 	}
-	body, err := io.ReadAll(r.reader)
+	body, err := io.ReadAll(io.LimitReader(r.reader, maxBodyBytes+1))
+	if err == nil && len(body) > maxBodyBytes {
+		err = errors.Newf("the answer has more than %d bytes", maxBodyBytes)
+	}
 	if err != nil {
 		return nil, errors.Mark(err, ErrNoAnswer)
 	}
@@ -162,6 +177,7 @@
 		return r.Body()
 	}
 	var body bytes.Buffer
+	body.Grow(min(max(0, r.response.Header.ContentLength()), maxBodyBytes))
 	for {
 		if err := wait(piece); err != nil {
 			return nil, err
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -3,11 +3,11 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"net"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttputil"
 
@@ -72,3 +72,27 @@
 		t.Errorf("reader ended after %d waits with %v, want 4 and %v", waits, err, errStop)
 	}
 }
+
+// A next hop cannot make this process hold more than the bounds.
+func TestAnswersAreBounded(t *testing.T) {
+	read := map[string]func(response *upstream.Response) error{
+		"line": func(response *upstream.Response) error {
+			_, err := response.Line()
+			return err
+		},
+		"body": func(response *upstream.Response) error {
+			_, err := response.Body()
+			return err
+		},
+	}
+	for name, read := range read {
+		response, err := serve(t, make([]byte, 20<<20)).Do(upstream.Request{Method: "GET", URL: "http://peer/"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := read(response); !errors.Is(err, upstream.ErrNoAnswer) {
+			t.Errorf("%s of 20 MiB: got %v, want an error", name, err)
+		}
+		response.Close()
+	}
+}
--- a/internal/weights/store.go
+++ b/internal/weights/store.go
@@ -39,7 +39,9 @@
 // entry is one wanted chunk. Data is nil until it was verified; arrived is
 // closed then.
 type entry struct {
-	pins    int
+	pins int
+	// most is the number of bytes that the manifests allow.
+	most    int
 	data    []byte
 	arrived chan struct{}
 }
@@ -75,6 +77,7 @@
 			s.entries[chunk] = held
 		}
 		held.pins++
+		held.most = max(held.most, manifest.ChunkBytes)
 	}
 	return nil
 }
@@ -87,28 +90,24 @@
 			total += size.Bytes(len(held.data))
 			continue
 		}
-		total += s.chunkBytes()
+		total += size.Bytes(held.most)
 	}
 	return total
 }
 
-// chunkBytes returns the largest chunk of the pinned manifests.
-func (s *Store) chunkBytes() size.Bytes {
-	largest := 0
-	for _, manifest := range s.pinned {
-		largest = max(largest, manifest.ChunkBytes)
-	}
-	return size.Bytes(largest)
-}
-
+// extraBytes bounds the memory that a manifest needs beyond that.
 func (s *Store) extraBytes(manifest *Manifest) size.Bytes {
 	var extra size.Bytes
 	for _, chunk := range manifest.chunks {
-		if s.entries[chunk] == nil {
+		held := s.entries[chunk]
+		switch {
+		case held == nil:
 			extra += size.Bytes(manifest.ChunkBytes)
+		case held.data == nil:
+			extra += size.Bytes(max(0, manifest.ChunkBytes-held.most))
 		}
 	}
-	return min(extra, size.Bytes(manifest.Bytes()))
+	return extra
 }
 
 // Unpin drops the chunks that no other pinned manifest contains.
@@ -164,6 +163,9 @@
 	if held.data != nil {
 		return nil
 	}
+	if len(data) > held.most {
+		return errors.Mark(errors.Newf("chunk %s has %d bytes, its manifest allows %d", digest, len(data), held.most), ErrCorrupt)
+	}
 	s.used += size.Bytes(len(data))
 	if s.used > s.limit {
 		panic(fmt.Sprintf("chunk memory holds %d bytes, the limit is %d", s.used, s.limit))
--- a/internal/weights/store_test.go
+++ b/internal/weights/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -103,6 +104,24 @@
 	}
 }
 
+// A manifest that names a larger chunk than it allows costs an error, not the
+// process: the memory limit was checked by what it allows.
+func TestChunkBeyondItsManifestIsRefused(t *testing.T) {
+	large := []byte("more than four")
+	text := fmt.Sprintf(`{"model":"draft","version":"v1","chunkBytes":4,"parts":[{"name":"base","kind":"base","bytes":4,"chunks":["%s"]}]}`, weights.Sum(large))
+	manifest, err := weights.DecodeManifest([]byte(text), weights.Sum([]byte(text)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	store := weights.NewStore(8)
+	if err := store.Pin(manifest); err != nil {
+		t.Fatal(err)
+	}
+	if err := store.Put(manifest.Chunks()[0], large); !errors.Is(err, weights.ErrCorrupt) {
+		t.Errorf("got %v, want ErrCorrupt", err)
+	}
+}
+
 // The hot path of a chunk that arrives: no allocation beyond the chunk itself.
 func TestPutAllocatesNothing(t *testing.T) {
 	manifest, chunks := build(t, "v1", "aaaabbbb")
