Answer wrong requests with the engine's own words

Cause: an engine's status 400 counted as an answer that may have run. The entry offered the request to one engine after the other: 11 engines for one request, which used up the entry's retry budget, and the caller got "outcome unknown".

Ruled out: checking requests in the entry; only the engine knows its limits.

Before: status 502, "outcome unknown", 11 engines asked. After: status 400 with the engine's body, 1 engine asked.

Conclusion: 400, 404, 413 and 422 are passed on; every other status is treated as before.

--- a/internal/agent/chat.go
+++ b/internal/agent/chat.go
@@ -46,6 +46,9 @@
 		request.end()
 		return a.refuseFailed(c, err)
 	}
+	if isCallersFault(response.Status()) {
+		return a.passRejection(c, request, response)
+	}
 	checker := &answer.Checker{RequestID: c.Get(outcome.RequestIDHeader), Set: request.set}
 	// The first event is read before the status is sent, so that a request
 	// that fails before it can be retried elsewhere.
@@ -67,6 +70,32 @@
 	})
 }
 
+// isCallersFault reports whether a status means that the request is wrong, so
+// that no other engine would take it either.
+func isCallersFault(status int) bool {
+	switch status {
+	case fiber.StatusBadRequest, fiber.StatusNotFound, fiber.StatusRequestEntityTooLarge, fiber.StatusUnprocessableEntity:
+		return true
+	default:
+		return false
+	}
+}
+
+// passRejection passes on what the engine says about a wrong request. It tells
+// nothing about how warm the engine is.
+func (a *Agent) passRejection(c fiber.Ctx, request *admitted, response *upstream.Response) error {
+	defer request.end()
+	defer response.Close()
+	body, err := response.Body()
+	if err != nil {
+		return a.refuseFailed(c, err)
+	}
+	a.setLoad(c)
+	c.Set(outcome.Header, string(outcome.Done))
+	c.Set(fiber.HeaderContentType, response.Header(fiber.HeaderContentType))
+	return c.Status(response.Status()).Send(body)
+}
+
 func (a *Agent) startChat(c fiber.Ctx, priority int) (*upstream.Response, error) {
 	address, err := a.endpointURL(chatPath)
 	if err != nil {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -67,6 +67,8 @@
 	WorstOverload int   `json:"worstOverload"`
 	Loads         int64 `json:"loads"`
 	Canceled      int64 `json:"canceled"`
+	// Rejected counts requests that the engine refused as wrong.
+	Rejected int64 `json:"rejected"`
 	// Priorities counts the drafts by their Priority header.
 	Priorities map[string]int64 `json:"priorities"`
 }
@@ -174,6 +176,12 @@
 	return started, true
 }
 
+func (e *Engine) countRejected() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.counts.Rejected++
+}
+
 func (e *Engine) applyFaults(started *draft) {
 	genuine := *started
 	if e.faults.Cross > 0 {
--- a/internal/standin/enginehttp.go
+++ b/internal/standin/enginehttp.go
@@ -12,8 +12,12 @@
 	"github.com/mimosaward/mimosaward/pkg/outcome"
 )
 
-// maxWeightBytes bounds a load order.
-const maxWeightBytes = 1 << 30
+const (
+	// maxWeightBytes bounds a load order.
+	maxWeightBytes = 1 << 30
+	// maxTokens is the longest draft that the engine writes.
+	maxTokens = 4096
+)
 
 // chatRequest is the part of a chat completion request that the engine uses.
 type chatRequest struct {
@@ -84,6 +88,10 @@
 	if err := json.Unmarshal(c.Body(), &request); err != nil || len(request.Messages) == 0 {
 		return c.Status(400).SendString("bad chat request")
 	}
+	if request.MaxTokens > maxTokens {
+		e.countRejected()
+		return c.Status(400).JSON(fiber.Map{"error": fiber.Map{"message": "max_tokens is above " + strconv.Itoa(maxTokens)}})
+	}
 	prompt := request.Messages[len(request.Messages)-1].Content
 	resume, _ := strconv.Atoi(c.Get(outcome.ResumeHeader))
 	requestID := string(append([]byte(nil), c.Get(outcome.RequestIDHeader)...))
--- a/internal/system/entry_test.go
+++ b/internal/system/entry_test.go
@@ -11,6 +11,7 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/mimosaward/mimosaward/internal/agent"
 	"github.com/mimosaward/mimosaward/internal/duty"
 	"github.com/mimosaward/mimosaward/internal/roster"
 	"github.com/mimosaward/mimosaward/internal/standin"
@@ -134,3 +135,51 @@
 		}
 	})
 }
+
+// A request that the engine refuses as wrong is answered with the engine's own
+// words, and offered to no other engine.
+func TestWrongRequestGetsTheEnginesAnswer(t *testing.T) {
+	inBubble(t, func(s *system) {
+		response := s.wrongDraft("entry-0")
+		defer response.Close()
+		body, _ := response.Body()
+		rejected := int64(0)
+		for _, engine := range s.engines {
+			rejected += engine.Counts().Rejected
+		}
+		got := []any{response.Status(), response.Header(outcome.Header), string(body), rejected}
+		want := []any{400, string(outcome.Done), `{"error":{"message":"max_tokens is above 4096"}}`, int64(1)}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("status, outcome, body and refusals (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// wrongDraft asks for more tokens than an engine writes.
+func (s *system) wrongDraft(process string) *upstream.Response {
+	s.t.Helper()
+	response, err := s.client.Do(upstream.Request{
+		Method: "POST", URL: "http://" + process + ":80/v1/chat/completions",
+		Body: []byte(`{"model":"draft","max_tokens":100000,"messages":[{"role":"user","content":"x"}]}`),
+	})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return response
+}
+
+// A cold engine refuses a wrong request quickly; that does not make it warm.
+func TestWrongRequestDoesNotWarmAnEndpoint(t *testing.T) {
+	inBubble(t, func(s *system) {
+		s.engines["draft-0-0"].TurnCold()
+		time.Sleep(700 * time.Millisecond)
+		for range 3 {
+			response := s.wrongDraft("draft-0-0")
+			load, _ := agent.ParseLoad(response.Header(agent.LoadHeader))
+			if response.Status() != 400 || !load.Cold {
+				t.Errorf("cold endpoint after a wrong request: status %d, load %+v", response.Status(), load)
+			}
+			response.Close()
+		}
+	})
+}
