Name the reader's state after what it tracks

Cause: a field called seat held whether this process may vouch as a reader. Ruled out: nothing, names only. Conclusion: the field has the name of its type.

--- a/internal/relay/reader.go
+++ b/internal/relay/reader.go
@@ -117,7 +117,7 @@
 	}
 	round.Wait()
 	r.catchUp()
-	if r.seat.mayVouch() && r.complete.Load() {
+	if r.readership.mayVouch() && r.complete.Load() {
 		r.Freshness.ConfirmZone(r.Self.AvailabilityZone, time.Now())
 	}
 	r.advance()
@@ -125,9 +125,9 @@
 
 // catchUp notes that this reader has caught up since it settled.
 func (r *Relay) catchUp() {
-	settled, reader := r.seat.settledAt()
+	settled, reader := r.readership.settledAt()
 	if reader && r.Freshness.CaughtUp(r.Self.AvailabilityZone, r.Roster.View().Zones(), settled) {
-		r.seat.noteCaughtUp(settled)
+		r.readership.noteCaughtUp(settled)
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -62,14 +62,14 @@
 	// Prefixes are the scopes that this process acts on; none means all.
 	Prefixes []string
 
-	mu       sync.Mutex
-	beat     int64
-	beaten   chan struct{}
-	complete atomic.Bool
-	reading  atomic.Bool
-	peers    peerProgress
-	seat     readership
-	placed   atomic.Pointer[placed]
+	mu         sync.Mutex
+	beat       int64
+	beaten     chan struct{}
+	complete   atomic.Bool
+	reading    atomic.Bool
+	peers      peerProgress
+	readership readership
+	placed     atomic.Pointer[placed]
 	// listRead is when the instance list was read last, in Unix nanoseconds.
 	listRead atomic.Int64
 	// vouches counts the rounds; only vouch uses it.
@@ -124,7 +124,7 @@
 // process is a reader now.
 func (r *Relay) mergeRoster(changed []roster.Instance, version int64) {
 	r.Roster.Merge(changed, version)
-	r.seat.observe(r.place().reader)
+	r.readership.observe(r.place().reader)
 }
 
 // advance starts a new beat, which answers the waiting children.
