Pass end-to-end headers of plain services on

Cause: calls of plain services lost every header but the content type, in both directions: no authorization reached a service, no location came back. Found by reading the path of a call as its user would see it.

Ruled out: a list of headers to pass (services have their own); passing a body's coding on (the system reads bodies).

Before: TestHeadersPassFromEndToEnd gets neither header. After: both pass, also in the repeated answer of an idempotency key; the headers of a connection, those that it names, and the system's own do not.

--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -31,6 +31,7 @@
 			outcome.RequestIDHeader: requestID,
 			outcome.KeyHeader:       c.Get(outcome.KeyHeader),
 		},
+		Forwarded: upstream.EndToEnd(c.Request().Header.All()),
 	})
 	if err != nil {
 		request.slot.Failed()
@@ -49,6 +50,9 @@
 	a.setLoad(c)
 	c.Set(outcome.Header, string(outcome.Done))
 	c.Set(fiber.HeaderContentType, response.Header(fiber.HeaderContentType))
+	for _, header := range response.EndToEnd() {
+		c.Response().Header.Add(header.Name, header.Value)
+	}
 	a.up.NoteLive(len(body))
 	return c.Status(response.Status()).Send(body)
 }
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -75,6 +75,7 @@
 			outcome.WorkspaceHeader: r.workspace,
 			outcome.KeyHeader:       c.Get(outcome.KeyHeader),
 		},
+		Forwarded: upstream.EndToEnd(c.Request().Header.All()),
 	}
 	got, failure := o.place(message, c.OriginalURL())
 	if got == nil {
@@ -86,7 +87,8 @@
 		return callResult{refusal: unknown("endpoint " + got.endpoint.Name + " gave no whole answer")}
 	}
 	return callResult{result: &idempotency.Result{
-		Status: got.response.Status(), ContentType: got.response.Header(fiber.HeaderContentType), Body: body,
+		Status: got.response.Status(), ContentType: got.response.Header(fiber.HeaderContentType),
+		Headers: got.response.EndToEnd(), Body: body,
 	}}
 }
 
@@ -99,6 +101,9 @@
 	r.finish(outcome.Done)
 	c.Set(outcome.Header, string(outcome.Done))
 	c.Set(fiber.HeaderContentType, got.result.ContentType)
+	for _, header := range got.result.Headers {
+		c.Response().Header.Add(header.Name, header.Value)
+	}
 	return c.Status(got.result.Status).Send(got.result.Body)
 }
 
--- a/internal/idempotency/batch.go
+++ b/internal/idempotency/batch.go
@@ -135,9 +135,9 @@
 	return nil
 }
 
-// bounded returns the result without its body if that is too large to keep.
+// bounded returns the result's status alone if it is too large to keep.
 func (r *Result) bounded() *Result {
-	if r == nil || len(r.Body)+len(r.ContentType) <= maxResultBytes {
+	if r == nil || len(r.Body)+r.headBytes() <= maxResultBytes {
 		return r
 	}
 	return &Result{Status: r.Status}
--- a/internal/idempotency/journal.go
+++ b/internal/idempotency/journal.go
@@ -19,6 +19,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mimosaward/mimosaward/internal/size"
+	"github.com/mimosaward/mimosaward/internal/upstream"
 	"github.com/mimosaward/mimosaward/internal/weights"
 )
 
@@ -78,7 +79,21 @@
 type Result struct {
 	Status      int    `json:"status"`
 	ContentType string `json:"contentType,omitempty"`
-	Body        []byte `json:"body,omitempty"`
+	// Headers are the other headers that go on to the caller.
+	Headers []upstream.Header `json:"headers,omitempty"`
+	Body    []byte            `json:"body,omitempty"`
+}
+
+// headerBytes is the size of an encoded header without its name and value.
+const headerBytes = 24
+
+// headBytes returns the size of everything but the body.
+func (r *Result) headBytes() int {
+	total := len(r.ContentType)
+	for _, header := range r.Headers {
+		total += headerBytes + len(header.Name) + len(header.Value)
+	}
+	return total
 }
 
 // Entry is one key in a journal.
@@ -95,7 +110,7 @@
 	if e.Result == nil {
 		return entryBytes
 	}
-	return entryBytes + size.Bytes(len(e.Result.ContentType)+base64.StdEncoding.EncodedLen(len(e.Result.Body)))
+	return entryBytes + size.Bytes(e.Result.headBytes()+base64.StdEncoding.EncodedLen(len(e.Result.Body)))
 }
 
 // journal is the head object of one range. An entry of the head replaces those
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -104,5 +104,7 @@
 		requestID = "crossed"
 	}
 	c.Set(outcome.RequestIDHeader, requestID)
+	c.Set(fiber.HeaderLocation, "/bookings/"+key)
+	c.Set("X-Seen-Authorization", c.Get(fiber.HeaderAuthorization))
 	return c.Status(201).JSON(map[string]string{"booked": key})
 }
--- a/internal/system/outcome_test.go
+++ b/internal/system/outcome_test.go
@@ -243,3 +243,29 @@
 		}
 	})
 }
+
+// Headers from end to end pass in both directions, also in a repeated answer;
+// those of a connection do not.
+func TestHeadersPassFromEndToEnd(t *testing.T) {
+	inBubble(t, func(s *system) {
+		for range 2 {
+			response, err := s.client.Do(upstream.Request{
+				Method: "POST", URL: "http://entry-0:80/services/booking/book", Body: []byte(`{}`),
+				Headers: map[string]string{outcome.KeyHeader: "headers", "Authorization": "Bearer aya", "Connection": "X-Hop", "X-Hop": "1"},
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = response.Body()
+			got := []string{response.Header("Location"), response.Header("X-Seen-Authorization")}
+			response.Close()
+			if diff := cmp.Diff([]string{"/bookings/headers", "Bearer aya"}, got); diff != "" {
+				t.Errorf("headers (-want +got):\n%s", diff)
+			}
+			time.Sleep(time.Second)
+		}
+		if runs := s.runs("headers"); runs != 1 {
+			t.Errorf("the booking ran %d times", runs)
+		}
+	})
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -80,7 +80,9 @@
 	Method  string
 	URL     string
 	Headers map[string]string
-	Body    []byte
+	// Forwarded are headers of the caller that go on.
+	Forwarded []Header
+	Body      []byte
 }
 
 // Response is an answer whose body is read while it arrives. The caller must
@@ -97,6 +99,9 @@
 	defer fasthttp.ReleaseRequest(outgoing)
 	outgoing.Header.SetMethod(request.Method)
 	outgoing.SetRequestURI(request.URL)
+	for _, header := range request.Forwarded {
+		outgoing.Header.Add(header.Name, header.Value)
+	}
 	for name, value := range request.Headers {
 		if value != "" {
 			outgoing.Header.Set(name, value)
@@ -134,6 +139,9 @@
 // Header returns a header's value.
 func (r *Response) Header(name string) string { return string(r.response.Header.Peek(name)) }
 
+// EndToEnd returns the headers that go on to the caller.
+func (r *Response) EndToEnd() []Header { return EndToEnd(r.response.Header.All()) }
+
 // Line returns the next line of the body with its line break.
 func (r *Response) Line() ([]byte, error) {
 	if r.reader == nil {
--- /dev/null
+++ b/internal/upstream/header_test.go
@@ -0,0 +1,23 @@
+package upstream_test
+
+import (
+	"fmt"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/mimosaward/mimosaward/internal/upstream"
+)
+
+// Headers of the connection, those that it names, and the system's own stay.
+func ExampleEndToEnd() {
+	header := &fasthttp.RequestHeader{}
+	header.Set("Authorization", "Bearer aya")
+	header.Set("Connection", "X-Hop")
+	header.Set("X-Hop", "1")
+	header.Set("Mimosaward-Workspace", "aso-care")
+	for _, kept := range upstream.EndToEnd(header.All()) {
+		fmt.Println(kept.Name, kept.Value)
+	}
+	// Output:
+	// Authorization Bearer aya
+}
