Read the whole instance list once while a ticket is awaited

Found by reading what the command line asks of the platform.

Ruled out: the zones from the acknowledgements (a zone that never acknowledged would not count).

Before: 11 reads of the whole list in a wait of 2 s. After: 1, then changes.

Conclusion: asserted in TestFileTellsThatAMajorityIsMissing.

--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -94,6 +94,8 @@
 	settings  settings.Operator
 	desk      *filing.Desk
 	instances *platform.InstanceList
+	// held is the instance list as read last.
+	held *roster.View
 }
 
 // open reads the operator's settings.
@@ -109,16 +111,19 @@
 		settings:  loaded,
 		desk:      &filing.Desk{Objects: &platform.ObjectAPI{BaseURL: loaded.Platform.ObjectAPI, HTTP: o.HTTP}},
 		instances: &platform.InstanceList{BaseURL: loaded.Platform.InstanceList, HTTP: o.HTTP},
+		held:      roster.NewView(),
 	}, nil
 }
 
-// zones returns the availability zones that have a live instance.
+// view returns the instance list. It reads the whole list once, and after that
+// what changed.
 func (s *session) view(ctx context.Context) (*roster.View, error) {
-	changes, err := s.instances.Since(ctx, 0)
+	changes, err := s.instances.Since(ctx, s.held.Version())
 	if err != nil {
 		return nil, err
 	}
-	return roster.NewView().With(changes.Instances, changes.Version), nil
+	s.held = s.held.With(changes.Instances, changes.Version)
+	return s.held, nil
 }
 
 // completion prints a completion script.
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -25,6 +25,8 @@
 	directory string
 	objects   *standin.ObjectStore
 	instances *standin.InstanceStore
+	// wholeLists counts the reads of the whole instance list.
+	wholeLists int
 }
 
 func newDesk(t *testing.T) *desk {
@@ -48,6 +50,9 @@
 // http reaches the fakes by their host names.
 func (d *desk) http(ctx context.Context, method, url string, body []byte) (int, []byte, error) {
 	if strings.HasPrefix(url, "http://instances") {
+		if strings.HasSuffix(url, "since=0") {
+			d.wholeLists++
+		}
 		return d.instances.HTTP(ctx, method, url, body)
 	}
 	return d.objects.HTTP(ctx, method, url, body)
@@ -96,6 +101,10 @@
 		if status != command.ExitFailed || !strings.Contains(out, "a majority of the availability zones has not acknowledged it") {
 			t.Errorf("status %d, output %q", status, out)
 		}
+		// The list of a large installation has megabytes.
+		if d.wholeLists != 1 {
+			t.Errorf("the whole instance list was read %d times while waiting, want once", d.wholeLists)
+		}
 	})
 }
 
