--- /dev/null
+++ b/internal/call/call.go
@@ -0,0 +1,37 @@
+// Package call describes one attempt of a caller: what it asks for and how long
+// it waits. It only holds values; package platform reads them.
+package call
+
+import "time"
+
+// Call is one attempt of a caller. Each attempt has its own ID.
+type Call struct {
+	ID     string
+	Method string
+	Host   string
+	// Target is the path with the query, as the caller sent it.
+	Target string
+	// Path is the target without the query.
+	Path string
+	// Key is what the caller identifies its workspace with.
+	Key string
+	// Patience is how long the caller waits; 0 means that it did not say.
+	Patience time.Duration
+	// LastEventID is the last event that the caller holds of a stream that it
+	// resumes; empty for a new one.
+	LastEventID string
+	Prompt      Prompt
+}
+
+// Prompt is what a call of a model asks for.
+type Prompt struct {
+	Model string
+	// Tokens is the size of the prompt, MaxAnswer the most tokens of the answer.
+	Tokens    int
+	MaxAnswer int
+	// ExpectedAnswer is the caller's guess of the answer's tokens; 0 means none.
+	ExpectedAnswer int
+	// Subject identifies the last part of the prompt that calls share: a session
+	// or a subject; empty means none.
+	Subject string
+}
--- /dev/null
+++ b/internal/connection/conn.go
@@ -0,0 +1,35 @@
+package connection
+
+import (
+	"bufio"
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+// readBufferBytes holds the header of an answer.
+const readBufferBytes = 8 << 10
+
+// Conn is one connection to an endpoint. It carries one request at a time.
+type Conn struct {
+	net.Conn
+	address string
+	reader  *bufio.Reader
+	// reused is true if the connection carried an earlier request.
+	reused bool
+	// idleUntil is when the other side may close the idle connection.
+	idleUntil time.Time
+	closed    atomic.Bool
+}
+
+// Reused reports whether the connection carried an earlier request.
+func (c *Conn) Reused() bool { return c.reused }
+
+// Close closes the connection, and may be called more than once and from another
+// goroutine.
+func (c *Conn) Close() error {
+	if c.closed.Swap(true) {
+		return nil
+	}
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/connection/exchange.go
@@ -0,0 +1,164 @@
+package connection
+
+import (
+	"bufio"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// Exchange is one request and its answer on a connection. The caller must call
+// either Finish or Abort. It is not safe for concurrent use, but for Abort.
+type Exchange struct {
+	pool     *Pool
+	conn     *Conn
+	response *fasthttp.Response
+	// skipped counts the answers that belonged to other requests.
+	skipped int
+}
+
+// ErrForeign means that the connection holds answers of other requests.
+var ErrForeign = errors.New("answer belongs to another request")
+
+// maxSkipped is the most answers of other requests that are passed over.
+const maxSkipped = 3
+
+// Send writes a request with its body on a connection. If it fails, the request
+// may have run, unless the error is marked ErrNotSent.
+func (p *Pool) Send(conn *Conn, header *fasthttp.RequestHeader, body []byte, deadline time.Time) (*Exchange, error) {
+	if err := conn.SetDeadline(deadline); err != nil {
+		_ = conn.Close()
+		return nil, errors.Mark(err, ErrNotSent)
+	}
+	header.SetContentLength(len(body))
+	counted := &countingWriter{to: conn}
+	writer := bufio.NewWriterSize(counted, writeBufferBytes)
+	err := header.Write(writer)
+	if err == nil {
+		_, err = writer.Write(body)
+	}
+	if err == nil {
+		err = writer.Flush()
+	}
+	if err != nil {
+		_ = conn.Close()
+		if counted.written == 0 {
+			err = errors.Mark(err, ErrNotSent)
+		}
+		return nil, errors.Wrapf(err, "send to %s", conn.address)
+	}
+	return &Exchange{pool: p, conn: conn, response: fasthttp.AcquireResponse()}, nil
+}
+
+// writeBufferBytes holds a usual request, so that it leaves in one write.
+const writeBufferBytes = 4 << 10
+
+// countingWriter counts what left.
+type countingWriter struct {
+	to      io.Writer
+	written int
+}
+
+// Write implements io.Writer.
+func (w *countingWriter) Write(data []byte) (int, error) {
+	n, err := w.to.Write(data)
+	w.written += n
+	return n, err
+}
+
+// ReadHeader reads the header of the answer. Belongs reports whether a header is
+// that of the answer to this request; answers to other requests are passed over.
+// Body must be false if the answer to the request has none.
+func (e *Exchange) ReadHeader(deadline time.Time, body bool, belongs func(*fasthttp.ResponseHeader) bool) (*fasthttp.ResponseHeader, error) {
+	if err := e.conn.SetReadDeadline(deadline); err != nil {
+		return nil, err
+	}
+	for ; e.skipped <= maxSkipped; e.skipped++ {
+		e.response.Reset()
+		e.response.StreamBody = true
+		e.response.SkipBody = !body
+		if err := e.response.ReadLimitBody(e.conn.reader, 0); err != nil {
+			return nil, errors.Wrapf(err, "read the answer of %s", e.conn.address)
+		}
+		if belongs(&e.response.Header) {
+			return &e.response.Header, nil
+		}
+		if _, err := io.Copy(io.Discard, e.bodyReader()); err != nil {
+			return nil, errors.Mark(errors.Wrapf(err, "pass over an answer of %s", e.conn.address), ErrForeign)
+		}
+	}
+	return nil, errors.Mark(errors.Newf("%s answered %d other requests", e.conn.address, e.skipped), ErrForeign)
+}
+
+func (e *Exchange) bodyReader() io.Reader {
+	if stream := e.response.BodyStream(); stream != nil {
+		return stream
+	}
+	return eofReader{}
+}
+
+// eofReader is the body of an answer that has none.
+type eofReader struct{}
+
+// Read implements io.Reader.
+func (eofReader) Read([]byte) (int, error) { return 0, io.EOF }
+
+// Header returns the header of the answer.
+func (e *Exchange) Header() *fasthttp.ResponseHeader { return &e.response.Header }
+
+// Skipped returns the number of answers to other requests that were passed over.
+func (e *Exchange) Skipped() int { return e.skipped }
+
+// Read reads a part of the body until the deadline. It returns io.EOF only at the
+// end of a complete body.
+func (e *Exchange) Read(buffer []byte, deadline time.Time) (int, error) {
+	if err := e.conn.SetReadDeadline(deadline); err != nil {
+		return 0, err
+	}
+	return e.bodyReader().Read(buffer)
+}
+
+// ReadAll reads the whole body until the deadline.
+func (e *Exchange) ReadAll(deadline time.Time) ([]byte, error) {
+	if err := e.conn.SetReadDeadline(deadline); err != nil {
+		return nil, err
+	}
+	return io.ReadAll(e.bodyReader())
+}
+
+// Finish ends an exchange whose body was read to its end. Idle is how long the
+// endpoint keeps the connection idle, 0 if it did not say; keep is false if the
+// connection must not carry another request.
+func (e *Exchange) Finish(keep bool, idle time.Duration) {
+	framed := e.response.Header.ContentLength() != untilClose
+	e.release()
+	if !keep || !framed || e.skipped > 0 {
+		_ = e.conn.Close()
+		return
+	}
+	e.pool.keep(e.conn, idle)
+}
+
+// untilClose is the library's content length of a body that ends with its
+// connection.
+const untilClose = -2
+
+// Abort closes the connection, which tells the endpoint to stop. It may be called
+// from another goroutine; Release must follow.
+func (e *Exchange) Abort() { _ = e.conn.Close() }
+
+// Discard ends an exchange that was not read to its end.
+func (e *Exchange) Discard() {
+	_ = e.conn.Close()
+	e.release()
+}
+
+func (e *Exchange) release() {
+	if e.response != nil {
+		_ = e.response.CloseBodyStream()
+		fasthttp.ReleaseResponse(e.response)
+		e.response = nil
+	}
+}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -47,6 +47,12 @@
 	TicketUnreadable  = Event{2007, logrus.ErrorLevel, "stored ticket unreadable", "A newer program may have filed it; upgrade this one."}
 )
 
+// Events of the configuration in the store.
+var (
+	ConfigurationApplied = Event{2101, logrus.InfoLevel, "configuration applied", nothingToDo}
+	ObjectUnreadable     = Event{2102, logrus.WarnLevel, "object in the store unreadable", "Look at who wrote it; it is left out."}
+)
+
 // Events of weight distribution.
 var (
 	RolloutStarted   = Event{3001, logrus.InfoLevel, "weight set wanted", nothingToDo}
@@ -76,6 +82,7 @@
 	return []Event{
 		ProcessStarted, DrainStarted, DrainEnded, DrainTimedOut, ServerFailed, InvariantBroken,
 		TicketsApplied, StoreUnreachable, StoreReachable, ParentChanged, FreshnessLost, FreshnessRegained, TicketUnreadable,
+		ConfigurationApplied, ObjectUnreadable,
 		RolloutStarted, SetComplete, ChunkCorrupt, PeerExcluded, LoadOrdered, LoadFailed, LoadDone, ManifestFailed,
 		MemoryTooSmall, SwapWaiting, RolloutAbandoned,
 		EndpointCold, AnswerMismatched, StreamResumed, StreamBroken, CallUnknown,
--- /dev/null
+++ b/internal/eventstream/reader_test.go
@@ -0,0 +1,73 @@
+package eventstream_test
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/mimosaward/mimosaward/internal/eventstream"
+)
+
+// read returns the events of a stream and the error that ended it.
+func read(source io.Reader) (events []string, ids []int64, end error) {
+	reader := eventstream.Reader{Read: source.Read}
+	for {
+		event, err := reader.Next()
+		if err != nil {
+			return events, ids, err
+		}
+		events = append(events, string(event.Raw))
+		if event.Numbered {
+			ids = append(ids, event.ID)
+		}
+	}
+}
+
+// Events come out whole, however the bytes arrive.
+func TestEvents(t *testing.T) {
+	const text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n\n"
+	want := []string{"id: 1\ndata: a\n\n", "id: 2\r\ndata: b\r\n\r\n", "data: c\n\n"}
+	for name, source := range map[string]io.Reader{
+		"at once":      strings.NewReader(text),
+		"byte by byte": iotest.OneByteReader(strings.NewReader(text)),
+		"with the end": iotest.DataErrReader(strings.NewReader(text)),
+	} {
+		events, ids, end := read(source)
+		if diff := cmp.Diff(want, events); diff != "" {
+			t.Errorf("%s: events (-want +got):\n%s", name, diff)
+		}
+		if diff := cmp.Diff([]int64{1, 2}, ids); diff != "" {
+			t.Errorf("%s: ids (-want +got):\n%s", name, diff)
+		}
+		if !errors.Is(end, io.EOF) {
+			t.Errorf("%s: ended with %v, want io.EOF", name, end)
+		}
+	}
+}
+
+// A stream that ends within an event is not complete, and the part of the event is
+// never returned.
+func TestEndWithinAnEvent(t *testing.T) {
+	events, _, end := read(strings.NewReader("id: 1\ndata: a\n\nid: 2\nda"))
+	if diff := cmp.Diff([]string{"id: 1\ndata: a\n\n"}, events); diff != "" {
+		t.Errorf("events (-want +got):\n%s", diff)
+	}
+	if !errors.Is(end, io.ErrUnexpectedEOF) {
+		t.Errorf("ended with %v, want io.ErrUnexpectedEOF", end)
+	}
+}
+
+func TestEndlessEvent(t *testing.T) {
+	endless := iotest.TimeoutReader(strings.NewReader(strings.Repeat("data: x\n", 1<<18)))
+	reader := eventstream.Reader{Read: func(buffer []byte) (int, error) {
+		n, _ := endless.Read(buffer)
+		return max(n, 1), nil
+	}}
+	if _, err := reader.Next(); !errors.Is(err, eventstream.ErrTooLarge) {
+		t.Errorf("got %v, want ErrTooLarge", err)
+	}
+}
--- /dev/null
+++ b/internal/fleet/endpoint.go
@@ -0,0 +1,38 @@
+package fleet
+
+import "time"
+
+// Endpoint is what an endpoint says of itself in the store.
+type Endpoint struct {
+	// ID names the endpoint; a restart may keep it.
+	ID string
+	// Incarnation tells starts with the same ID apart; it grows with each start.
+	Incarnation      int64
+	Service          string
+	Address          string
+	AvailabilityZone string
+	Region           string
+	// Slots is the number of requests that the endpoint works on at a time.
+	Slots int
+	// Draining endpoints are about to leave.
+	Draining bool
+	// ColdFor is how long the endpoint stays in cold start.
+	ColdFor time.Duration
+	Weights []Weights
+}
+
+// Weights is a model that an engine holds whole, in one version.
+type Weights struct {
+	Model   string
+	Version int64
+}
+
+// Version returns the version of a model that the endpoint holds, 0 if none.
+func (e *Endpoint) Version(model string) int64 {
+	for _, held := range e.Weights {
+		if held.Model == model {
+			return held.Version
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/fleet/view.go
@@ -0,0 +1,73 @@
+// Package fleet owns what a process knows about the endpoints: their own entries
+// in the store, which availability zones are out of service, and which weights
+// the operators want. It does no I/O.
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"sync/atomic"
+)
+
+// View is what is known at one time. It is immutable.
+type View struct {
+	endpoints map[string][]Endpoint
+	evacuated map[string]bool
+	wanted    map[string]int64
+}
+
+// Service returns the endpoints of a service, ordered by ID. Callers must not
+// change them.
+func (v *View) Service(name string) []Endpoint { return v.endpoints[name] }
+
+// Evacuated reports whether an availability zone is out of service.
+func (v *View) Evacuated(zone string) bool { return v.evacuated[zone] }
+
+// Wanted returns the version of a model that the operators want, 0 if they named
+// none.
+func (v *View) Wanted(model string) int64 { return v.wanted[model] }
+
+// Holder holds the newest view. It is safe for concurrent use, but only one
+// goroutine may change it at a time.
+type Holder struct {
+	current atomic.Pointer[View]
+}
+
+// NewHolder returns a holder of an empty view.
+func NewHolder() *Holder {
+	h := &Holder{}
+	h.current.Store(&View{})
+	return h
+}
+
+// View returns the newest view.
+func (h *Holder) View() *View { return h.current.Load() }
+
+// SetEndpoints replaces the endpoints.
+func (h *Holder) SetEndpoints(endpoints []Endpoint) {
+	byService := map[string][]Endpoint{}
+	for _, endpoint := range endpoints {
+		byService[endpoint.Service] = append(byService[endpoint.Service], endpoint)
+	}
+	for _, list := range byService {
+		slices.SortFunc(list, func(a, b Endpoint) int { return strings.Compare(a.ID, b.ID) })
+	}
+	next := *h.View()
+	next.endpoints = byService
+	h.current.Store(&next)
+}
+
+// SetEvacuated replaces the availability zones that are out of service.
+func (h *Holder) SetEvacuated(zones map[string]bool) {
+	next := *h.View()
+	next.evacuated = maps.Clone(zones)
+	h.current.Store(&next)
+}
+
+// SetWanted replaces the versions that the operators want of each model.
+func (h *Holder) SetWanted(versions map[string]int64) {
+	next := *h.View()
+	next.wanted = maps.Clone(versions)
+	h.current.Store(&next)
+}
--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,99 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/mimosaward/mimosaward/internal/connection"
+	"github.com/mimosaward/mimosaward/internal/dispatch"
+	"github.com/mimosaward/mimosaward/platform"
+)
+
+const (
+	// failurePause is how long an endpoint that cannot be reached is left out.
+	failurePause = time.Second
+	// refusedPause is how long an endpoint that refused a request is left out.
+	refusedPause = 100 * time.Millisecond
+)
+
+// attempt is a request at one endpoint. Its answer has begun.
+type attempt struct {
+	flight   *flight
+	grant    *dispatch.Grant
+	exchange *connection.Exchange
+	answer   platform.Answer
+	// stopAbort undoes that the caller's leaving ends the exchange.
+	stopAbort func() bool
+}
+
+// failure says how an attempt failed.
+type failure struct {
+	// ran is false if the request certainly did not run and never will.
+	ran bool
+	// sent is false if no byte of it left.
+	sent bool
+	err  error
+}
+
+// start sends the request to an endpoint and waits for the header of the answer.
+func (f *flight) start(grant *dispatch.Grant, forwarding platform.Forwarding, fresh bool) (*attempt, *failure) {
+	g := f.gateway
+	dialCtx, cancel := context.WithTimeout(f.ctx, dialTimeout)
+	conn, err := g.pool.Get(dialCtx, grant.Endpoint.Address, fresh)
+	cancel()
+	if err != nil {
+		return nil, &failure{err: err}
+	}
+	header := &fasthttp.RequestHeader{}
+	header.SetNoDefaultContentType(true)
+	platform.WriteForwarded(header, &f.http.Request.Header, forwarding)
+	exchange, err := g.pool.Send(conn, header, f.http.Request.Body(), f.deadline)
+	if err != nil {
+		sent := !errors.Is(err, connection.ErrNotSent)
+		return nil, &failure{sent: sent, ran: sent, err: err}
+	}
+	a := &attempt{flight: f, grant: grant, exchange: exchange}
+	a.stopAbort = context.AfterFunc(f.ctx, exchange.Abort)
+	answered, err := exchange.ReadHeader(f.deadline, !f.http.IsHead(), func(h *fasthttp.ResponseHeader) bool {
+		return f.owns(platform.ReadAnswer(h))
+	})
+	if err != nil {
+		a.discard()
+		return nil, &failure{sent: true, ran: true, err: err}
+	}
+	a.answer = platform.ReadAnswer(answered)
+	if a.answer.NotRun {
+		a.discard()
+		return nil, &failure{sent: true, err: errors.Newf("refused with status %d", a.answer.Status)}
+	}
+	return a, nil
+}
+
+// owns reports whether an answer belongs to the request. Refusals may name no
+// request.
+func (f *flight) owns(answer platform.Answer) bool {
+	return answer.CallID == f.call.ID || (answer.CallID == "" && answer.NotRun)
+}
+
+// dialTimeout is how long opening a connection to an endpoint may take. The
+// longest way takes some milliseconds; a lost opening packet is repeated only
+// after a second, and another endpoint is quicker.
+const dialTimeout = 300 * time.Millisecond
+
+// finish ends an attempt whose answer was read to its end.
+func (a *attempt) finish() {
+	if !a.stopAbort() {
+		a.exchange.Discard()
+		return
+	}
+	a.exchange.Finish(!a.answer.Close, a.answer.Idle)
+}
+
+// discard ends an attempt whose answer was not read to its end.
+func (a *attempt) discard() {
+	a.stopAbort()
+	a.exchange.Discard()
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,179 @@
+// Package gateway serves callers on the users' platform: it finds the route of a
+// request, passes it to an endpoint, repeats what may be repeated, and relays the
+// answer.
+package gateway
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/mimosaward/mimosaward/internal/configuration"
+	"github.com/mimosaward/mimosaward/internal/connection"
+	"github.com/mimosaward/mimosaward/internal/deployment"
+	"github.com/mimosaward/mimosaward/internal/dispatch"
+	"github.com/mimosaward/mimosaward/internal/duty"
+	"github.com/mimosaward/mimosaward/internal/event"
+	"github.com/mimosaward/mimosaward/internal/fleet"
+	"github.com/mimosaward/mimosaward/internal/retry"
+	"github.com/mimosaward/mimosaward/platform"
+)
+
+const (
+	// leaverInterval is how often connections are looked at for callers that left;
+	// an endpoint must learn of it within half a second.
+	leaverInterval = 100 * time.Millisecond
+	// sweepInterval is how often idle connections past their time are closed.
+	sweepInterval = time.Second
+	readBufferLen = 32 << 10
+	maxBodyBytes  = 64 << 20
+	// firstRead bounds the wait for the first request of a connection and for the
+	// rest of a request that began.
+	firstRead = 5 * time.Second
+	// serverIdle is how long an idle connection of a caller is kept. It is above
+	// every idle timeout that operators set, since callers close first.
+	serverIdle = 60 * time.Second
+)
+
+// Gateway serves callers. Set the exported fields before Run.
+type Gateway struct {
+	Deployment deployment.Deployment
+	Log        *event.Logger
+	Listen     func(address string) (net.Listener, error)
+	Dial       func(ctx context.Context, address string) (net.Conn, error)
+	DialStore  func(address string) (net.Conn, error)
+	// Left reports whether the other side closed a connection.
+	Left func(net.Conn) bool
+	// Stale reports whether an idle connection was closed or holds bytes.
+	Stale func(net.Conn) bool
+
+	configuration configuration.Holder
+	fleet         *fleet.Holder
+	dispatcher    *dispatch.Dispatcher
+	pool          *connection.Pool
+	retries       *retry.Budget
+	flights       flights
+	store         *platform.Store
+	gateways      gateways
+	stopping      atomic.Bool
+}
+
+// Run serves until stop ends, then finishes the requests in flight.
+func (g *Gateway) Run(stop context.Context) error {
+	g.prepare()
+	group := duty.NewGroup(context.Background())
+	for _, follow := range g.informers() {
+		group.Go(follow.Run)
+	}
+	group.Go(g.register)
+	group.Every(leaverInterval, func(context.Context) { g.flights.cancelLeft(g.Left) })
+	group.Every(sweepInterval, func(context.Context) { g.pool.Sweep() })
+	failed := make(chan error, 3)
+	servers := map[string]fasthttp.RequestHandler{
+		g.Deployment.Listen.Callers:   g.handle,
+		g.Deployment.Listen.Readiness: g.readiness,
+		g.Deployment.Listen.Directory: g.directory,
+	}
+	for address, handler := range servers {
+		if address == "" {
+			continue
+		}
+		listener, err := g.Listen(address)
+		if err != nil {
+			return errors.Wrapf(err, "listen on %s", address)
+		}
+		server := newServer(handler)
+		group.Go(func(context.Context) { failed <- server.Serve(listener) })
+	}
+	g.Log.Emit(event.ProcessStarted, event.Fields{"address": g.Deployment.Listen.Callers})
+	select {
+	case err := <-failed:
+		return err
+	case <-stop.Done():
+		g.drain()
+		return nil
+	}
+}
+
+func (g *Gateway) prepare() {
+	g.fleet = fleet.NewHolder()
+	g.dispatcher = &dispatch.Dispatcher{
+		Region: g.Deployment.Instance.Region, AvailabilityZone: g.Deployment.Instance.AvailabilityZone,
+		View: g.fleet.View, Gateways: g.gateways.count,
+	}
+	g.pool = &connection.Pool{Dial: g.Dial, Stale: g.Stale}
+	g.retries = &retry.Budget{Percent: 15}
+	g.store = platform.NewStore(g.Deployment.Store.Address, g.DialStore)
+}
+
+func newServer(handler fasthttp.RequestHandler) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler: handler, ReadBufferSize: readBufferLen, MaxRequestBodySize: maxBodyBytes,
+		ReadTimeout: firstRead, IdleTimeout: serverIdle, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
+		DisablePreParseMultipartForm: true, Logger: silent{},
+	}
+}
+
+// silent drops the HTTP server's own lines: each request has lines of its own.
+type silent struct{}
+
+// Printf implements fasthttp.Logger.
+func (silent) Printf(string, ...any) {}
+
+// drainPoll is how often a drain looks for the end of the requests in flight.
+const drainPoll = 50 * time.Millisecond
+
+// drain leaves the directory, then serves until nothing is in flight.
+func (g *Gateway) drain() {
+	g.stopping.Store(true)
+	g.Log.Emit(event.DrainStarted, event.Fields{"inFlight": g.flights.count()})
+	end := time.Now().Add(g.Deployment.Bounds.Grace - time.Second)
+	quiet := time.Now().Add(4 * time.Second)
+	for time.Now().Before(end) {
+		if time.Now().After(quiet) && g.flights.count() == 0 {
+			break
+		}
+		time.Sleep(drainPoll)
+	}
+	g.Log.Emit(event.DrainEnded, event.Fields{"inFlight": g.flights.count()})
+}
+
+// handle answers one request of a caller.
+func (g *Gateway) handle(c *fasthttp.RequestCtx) {
+	f := g.begin(c)
+	if g.stopping.Load() {
+		c.SetConnectionClose()
+	}
+	if refused := f.admit(); refused != nil {
+		f.refuse(refused)
+		f.end()
+		return
+	}
+	if f.route.Kind == configuration.Stream {
+		f.serveStream()
+	} else {
+		f.servePlain()
+	}
+	if g.stopping.Load() {
+		c.SetConnectionClose()
+	}
+}
+
+// readiness tells the platform whether the gateway takes requests.
+func (g *Gateway) readiness(c *fasthttp.RequestCtx) {
+	if string(c.Path()) != platform.PathReadiness {
+		c.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	if !g.ready() {
+		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+}
+
+func (g *Gateway) ready() bool {
+	return !g.stopping.Load() && g.configuration.Current() != nil
+}
--- /dev/null
+++ b/internal/informer/informer.go
@@ -0,0 +1,236 @@
+// Package informer keeps a copy of all objects of one kind in step with the
+// object API, by a list and then watches. It owns when to list, watch and wait;
+// it does not know what the objects mean.
+package informer
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mimosaward/mimosaward/internal/duty"
+)
+
+const (
+	// minBackoff and maxBackoff bound the pause after a failed call. The longest
+	// one is well below the time in which a returned store must be noticed.
+	minBackoff = 100 * time.Millisecond
+	maxBackoff = 800 * time.Millisecond
+)
+
+// Informer follows one kind. Set the exported fields before Run; the methods are
+// safe for concurrent use.
+type Informer struct {
+	Kind string
+	// Settle is the pause between an answer of a watch and the next one, so that
+	// changes in quick succession share a call.
+	Settle time.Duration
+	// List returns the objects after a name.
+	List func(ctx context.Context, kind, after string) (Page, error)
+	// Watch returns the changes after a revision, as soon as there is one.
+	Watch func(ctx context.Context, kind string, after int64) (Batch, error)
+	// OnChange is called after each change of the copy, one call at a time.
+	OnChange func(Snapshot)
+	// OnAvailability is called when the object API starts or stops to answer.
+	OnAvailability func(available bool, err error)
+
+	mu       sync.Mutex
+	objects  map[string]Object
+	revision int64
+	synced   bool
+	// notify serializes OnChange.
+	notify sync.Mutex
+
+	unavailableSince time.Time
+	availableSince   time.Time
+}
+
+// Snapshot is a copy of a kind at a revision.
+type Snapshot struct {
+	Revision int64
+	Objects  map[string]Object
+}
+
+// Snapshot returns the copy, and false before the first list.
+func (i *Informer) Snapshot() (Snapshot, bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return Snapshot{Revision: i.revision, Objects: maps.Clone(i.objects)}, i.synced
+}
+
+// Revision returns the revision of the copy, 0 before the first list.
+func (i *Informer) Revision() int64 {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.revision
+}
+
+// Availability returns since when the object API does not answer this informer,
+// zero if it does, and since when it does again.
+func (i *Informer) Availability() (lost, regained time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.unavailableSince, i.availableSince
+}
+
+// Adopt takes over a newer copy that a peer holds, and reports whether it did.
+func (i *Informer) Adopt(copied Snapshot) bool {
+	i.mu.Lock()
+	if i.synced && copied.Revision <= i.revision {
+		i.mu.Unlock()
+		return false
+	}
+	i.objects, i.revision, i.synced = maps.Clone(copied.Objects), copied.Revision, true
+	i.mu.Unlock()
+	i.changed()
+	return true
+}
+
+// Run follows the kind until ctx ends.
+func (i *Informer) Run(ctx context.Context) {
+	backoff := minBackoff
+	for ctx.Err() == nil {
+		err := i.follow(ctx)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case errors.Is(err, ErrExpired):
+			i.forgetRevision()
+			continue
+		case err == nil:
+			backoff = minBackoff
+			continue
+		}
+		i.noteLost(err)
+		duty.Sleep(ctx, backoff/2+rand.N(backoff))
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+// follow lists the kind if there is no copy to go on from, then waits for one
+// batch of changes.
+func (i *Informer) follow(ctx context.Context) error {
+	i.mu.Lock()
+	from, listed := i.revision, i.synced
+	i.mu.Unlock()
+	if !listed {
+		return i.list(ctx)
+	}
+	batch, err := i.Watch(ctx, i.Kind, from)
+	if err != nil {
+		return err
+	}
+	i.noteAvailable()
+	if i.apply(batch) {
+		duty.Sleep(ctx, i.Settle)
+	}
+	return nil
+}
+
+// forgetRevision makes the next step list the kind again. The copy stays in use
+// until then.
+func (i *Informer) forgetRevision() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.synced = false
+}
+
+func (i *Informer) list(ctx context.Context) error {
+	objects := map[string]Object{}
+	revision, after := int64(0), ""
+	for {
+		page, err := i.List(ctx, i.Kind, after)
+		if err != nil {
+			return err
+		}
+		for _, object := range page.Objects {
+			objects[object.Name] = object
+			after = object.Name
+		}
+		// Changes between the pages are found by watching from the first one.
+		if revision == 0 {
+			revision = page.Revision
+		}
+		if !page.More || len(page.Objects) == 0 {
+			break
+		}
+	}
+	i.noteAvailable()
+	i.mu.Lock()
+	newer := revision >= i.revision
+	if newer {
+		i.objects, i.revision, i.synced = objects, revision, true
+	} else {
+		// A peer's copy that was adopted meanwhile is newer.
+		i.synced = true
+	}
+	i.mu.Unlock()
+	if newer {
+		i.changed()
+	}
+	return nil
+}
+
+// apply merges a batch and reports whether it changed anything.
+func (i *Informer) apply(batch Batch) bool {
+	i.mu.Lock()
+	next := maps.Clone(i.objects)
+	changed := false
+	for _, change := range batch.Changes {
+		held, known := next[change.Object.Name]
+		switch {
+		case known && held.Revision > change.Object.Revision:
+			continue
+		case change.Deleted && known:
+			delete(next, change.Object.Name)
+		case change.Deleted:
+			continue
+		default:
+			next[change.Object.Name] = change.Object
+		}
+		changed = true
+	}
+	i.objects = next
+	i.revision = max(i.revision, batch.Revision)
+	i.mu.Unlock()
+	if changed {
+		i.changed()
+	}
+	return changed
+}
+
+func (i *Informer) changed() {
+	i.notify.Lock()
+	defer i.notify.Unlock()
+	snapshot, _ := i.Snapshot()
+	i.OnChange(snapshot)
+}
+
+func (i *Informer) noteLost(err error) {
+	i.mu.Lock()
+	first := i.unavailableSince.IsZero()
+	if first {
+		i.unavailableSince = time.Now()
+	}
+	i.mu.Unlock()
+	if first && i.OnAvailability != nil {
+		i.OnAvailability(false, err)
+	}
+}
+
+func (i *Informer) noteAvailable() {
+	i.mu.Lock()
+	regained := !i.unavailableSince.IsZero()
+	if regained {
+		i.unavailableSince = time.Time{}
+		i.availableSince = time.Now()
+	}
+	i.mu.Unlock()
+	if regained && i.OnAvailability != nil {
+		i.OnAvailability(true, nil)
+	}
+}
--- /dev/null
+++ b/internal/sockets/sockets.go
@@ -0,0 +1,90 @@
+// Package sockets opens the TCP connections of a process, with the options that
+// show when the other side is gone, and looks at open ones.
+package sockets
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// probeIdle, probeInterval and probeCount let keep-alive probes find a silent
+	// connection within three seconds.
+	probeIdle     = time.Second
+	probeInterval = time.Second
+	probeCount    = 2
+	// unacknowledged is how long sent bytes may stay without acknowledgement.
+	unacknowledged = 2500 * time.Millisecond
+)
+
+// Dial connects to an address.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
+		Control: func(_, _ string, c syscall.RawConn) error {
+			var failed error
+			err := c.Control(func(fd uintptr) {
+				failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledged.Milliseconds()))
+			})
+			if err != nil {
+				return err
+			}
+			return failed
+		},
+	}
+	return dialer.DialContext(ctx, "tcp4", address)
+}
+
+// dialSoonTimeout is how long DialSoon tries.
+const dialSoonTimeout = time.Second
+
+// DialSoon connects to an address within a second.
+func DialSoon(address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialSoonTimeout)
+	defer cancel()
+	return Dial(ctx, address)
+}
+
+// Listen listens on an address.
+func Listen(address string) (net.Listener, error) { return net.Listen("tcp4", address) }
+
+// Left reports whether the other side closed a connection. Bytes that wait to be
+// read do not count as a close.
+func Left(conn net.Conn) bool {
+	closed, _ := peek(conn)
+	return closed
+}
+
+// Stale reports whether a connection was closed or holds bytes to read.
+func Stale(conn net.Conn) bool {
+	closed, readable := peek(conn)
+	return closed || readable
+}
+
+// peek looks at what can be read, without reading it.
+func peek(conn net.Conn) (closed, readable bool) {
+	raw, isSocket := conn.(syscall.Conn)
+	if !isSocket {
+		return false, false
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return true, false
+	}
+	err = control.Control(func(fd uintptr) {
+		var buffer [1]byte
+		n, _, err := unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch {
+		case err == unix.EAGAIN || err == unix.EINTR:
+		case err != nil || n == 0:
+			closed = true
+		default:
+			readable = true
+		}
+	})
+	return closed || err != nil, readable
+}
