Bring weights to engines through the existing exchange

The loader on each engine's instance takes over what is staged, fetches the rest from other instances and the origin, stages and verifies it, and orders the load in turns by rank. Chunks travel through the code of the agent, now package carrier, with waits for bursts of seconds (exchange.Timing).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -11,9 +11,9 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mimosaward/mimosaward/internal/admission"
+	"github.com/mimosaward/mimosaward/internal/carrier"
 	"github.com/mimosaward/mimosaward/internal/event"
 	"github.com/mimosaward/mimosaward/internal/exchange"
-	"github.com/mimosaward/mimosaward/internal/pace"
 	"github.com/mimosaward/mimosaward/internal/platform"
 	"github.com/mimosaward/mimosaward/internal/process"
 	"github.com/mimosaward/mimosaward/internal/roster"
@@ -26,8 +26,7 @@
 	endpointFirstByte = 30 * time.Second
 	endpointIdle      = 10 * time.Second
 	originTimeout     = 60 * time.Second
-	peerFirstByte     = 3 * time.Second
-	peerIdle          = 3 * time.Second
+	peerTimeout       = 3 * time.Second
 )
 
 // Agent runs beside one endpoint. Set the exported fields before Run.
@@ -37,19 +36,15 @@
 	Network  process.Network
 	Log      *event.Logger
 
-	base      *process.Base
-	gate      *admission.Gate
-	drain     *process.Drain
-	serving   *servedSet
-	store     *weights.Store
-	manifests manifestCache
-	fetcher   *exchange.Fetcher
-	endpoint  *upstream.Client
-	peers     *upstream.Client
-	origin    platform.HTTPFunc
-	// up and down are the directions of the instance's link.
-	up   *pace.Link
-	down *pace.Link
+	base     *process.Base
+	gate     *admission.Gate
+	drain    *process.Drain
+	serving  *servedSet
+	store    *weights.Store
+	fetcher  *exchange.Fetcher
+	endpoint *upstream.Client
+	carrier  *carrier.Carrier
+	origin   platform.HTTPFunc
 }
 
 // Run serves until stop ends, then drains and returns.
@@ -66,7 +61,7 @@
 	}
 	err := a.base.RunProgram(stop, program)
 	a.endpoint.Close()
-	a.peers.Close()
+	a.carrier.Close()
 	return err
 }
 
@@ -91,14 +86,18 @@
 		OnCold: func() { a.Log.Emit(event.EndpointCold, event.Fields{}) },
 	}
 	a.endpoint = (&upstream.Client{Dial: a.Network.Dial, FirstByteTimeout: endpointFirstByte, IdleTimeout: endpointIdle, FreshConnections: !a.isModel()}).Open()
-	a.peers = (&upstream.Client{Dial: a.Network.Dial, FirstByteTimeout: peerFirstByte, IdleTimeout: peerIdle}).Open()
 	a.origin = platform.NewHTTP(a.Network.Dial)
-	rate := float64(a.Settings.Weights.LinkRate)
-	a.up, a.down = &pace.Link{Rate: rate}, &pace.Link{Rate: rate}
+	a.carrier = (&carrier.Carrier{
+		Dial: a.Network.Dial, Timeout: peerTimeout, LinkRate: float64(a.Settings.Weights.LinkRate),
+		Serve: func(ctx context.Context, request exchange.Request) (exchange.Answer, error) {
+			return a.fetcher.Serve(ctx, request)
+		},
+		OnReceived: func() { a.base.Meter.ChunkReceived("peer") },
+	}).Open()
 	a.store = weights.NewStore(a.Settings.Weights.ChunkMemory)
 	a.fetcher = &exchange.Fetcher{
 		Self: self, Home: a.Settings.Weights.HomeRegion, FanOut: a.Settings.Weights.FanOut, Store: a.store, Log: a.Log,
-		ThinLinkDelay: a.Settings.Weights.ThinLinkDelay, FetchPeer: a.fetchPeer, FetchOrigin: a.fetchOrigin,
+		ThinLinkDelay: a.Settings.Weights.ThinLinkDelay, FetchPeer: a.carrier.FetchPeer, FetchOrigin: a.fetchOrigin,
 	}
 	return errors.Wrap(a.base.Server.Register("Agent", &service{agent: a}), "register agent service")
 }
--- a/internal/agent/chat.go
+++ b/internal/agent/chat.go
@@ -24,8 +24,7 @@
 // app serves entries and other agents.
 func (a *Agent) app() *fiber.App {
 	app := fiber.New(fiber.Config{Immutable: true})
-	app.Get("/chunks/:digest", a.getChunk)
-	app.Get("/manifests/:digest", a.getManifest)
+	a.carrier.Routes(app)
 	if a.isModel() {
 		app.Post(chatPath, a.chat)
 	} else {
@@ -136,7 +135,7 @@
 // with an error event, never silently.
 func (a *Agent) copyStream(w *bufio.Writer, event []byte, response *upstream.Response, checker *answer.Checker) {
 	for {
-		a.up.NoteLive(len(event))
+		a.carrier.Up().NoteLive(len(event))
 		if _, err := w.Write(event); err != nil {
 			return
 		}
--- /dev/null
+++ b/internal/carrier/carrier.go
@@ -0,0 +1,59 @@
+// Package carrier carries chunks and manifests between instances over HTTP, as
+// the instances' links allow. Which instance to ask is decided in package exchange
+// and its callers.
+package carrier
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/mimosaward/mimosaward/internal/exchange"
+	"github.com/mimosaward/mimosaward/internal/pace"
+	"github.com/mimosaward/mimosaward/internal/upstream"
+)
+
+// Carrier serves chunks to other instances and asks them for theirs. Set the
+// exported fields before Open.
+type Carrier struct {
+	// Dial connects to another instance.
+	Dial func(address string) (net.Conn, error)
+	// Timeout bounds the wait for an answer, and for each further part of it.
+	Timeout time.Duration
+	// LinkRate is what the instance's link carries a second in each direction; 0
+	// means that weights are not held back.
+	LinkRate float64
+	// Serve returns a chunk that another instance asks for.
+	Serve func(ctx context.Context, request exchange.Request) (exchange.Answer, error)
+	// OnReceived is called for each chunk from another instance.
+	OnReceived func()
+
+	peers     *upstream.Client
+	up        *pace.Link
+	down      *pace.Link
+	manifests manifestCache
+}
+
+// Open prepares the carrier.
+func (r *Carrier) Open() *Carrier {
+	r.peers = (&upstream.Client{Dial: r.Dial, FirstByteTimeout: r.Timeout, IdleTimeout: r.Timeout}).Open()
+	r.up, r.down = &pace.Link{Rate: r.LinkRate}, &pace.Link{Rate: r.LinkRate}
+	return r
+}
+
+// Close closes the idle connections.
+func (r *Carrier) Close() { r.peers.Close() }
+
+// Up returns the direction of the instance's link towards others.
+func (r *Carrier) Up() *pace.Link { return r.up }
+
+// Down returns the direction of the instance's link towards it.
+func (r *Carrier) Down() *pace.Link { return r.down }
+
+// Routes serves other instances.
+func (r *Carrier) Routes(router fiber.Router) {
+	router.Get("/chunks/:digest", r.getChunk)
+	router.Get(manifestPath+":key", r.getManifest)
+}
--- a/internal/agent/chunks.go
+++ b/internal/carrier/chunks.go
@@ -1,4 +1,4 @@
-package agent
+package carrier
 
 import (
 	"context"
@@ -20,13 +20,13 @@
 const (
 	totalHeader  = "Mimosaward-Chunk-Bytes"
 	waitedHeader = "Mimosaward-Waited-Microseconds"
-	// maxHold bounds how long an agent holds another agent's request.
+	// maxHold bounds how long an instance holds another one's request.
 	maxHold = 2 * time.Second
 )
 
-// getChunk serves a chunk, or a slice of it, to another agent. Status 425
-// means that the agent wants the chunk but lacks it so far.
-func (a *Agent) getChunk(c fiber.Ctx) error {
+// getChunk serves a chunk, or a slice of it, to another instance. Status 425
+// means that the instance wants the chunk but lacks it so far.
+func (r *Carrier) getChunk(c fiber.Ctx) error {
 	digest, err := weights.ParseDigest(c.Params("digest"))
 	if err != nil {
 		return c.Status(fiber.StatusBadRequest).SendString(err.Error())
@@ -38,7 +38,7 @@
 	request.Hold = min(hold, maxHold)
 	request.TakeOver = c.Query("takeOver") == "true"
 	request.Spare = c.Query("spare") == "true"
-	served, err := a.fetcher.Serve(c.Context(), request)
+	served, err := r.Serve(c.Context(), request)
 	switch {
 	case errors.Is(err, exchange.ErrNotYet):
 		return c.SendStatus(fiber.StatusTooEarly)
@@ -51,10 +51,10 @@
 	waited := served.Waited
 	if request.Length > 0 {
 		start := time.Now()
-		_ = a.up.WaitSlice(c.Context(), len(served.Data))
+		_ = r.up.WaitSlice(c.Context(), len(served.Data))
 		waited += time.Since(start)
 	} else {
-		body.link = a.up
+		body.link = r.up
 	}
 	c.Set(totalHeader, strconv.Itoa(served.Total))
 	c.Set(waitedHeader, strconv.FormatInt(waited.Microseconds(), 10))
@@ -106,24 +106,24 @@
 	return nil
 }
 
-// fetchPeer asks another agent for a chunk or a slice of it, as the instance's
+// FetchPeer asks another instance for a chunk or a slice of it, as the instance's
 // link allows. It stops reading when ctx ends.
-func (a *Agent) fetchPeer(ctx context.Context, peer roster.Instance, request exchange.Request) (exchange.Answer, error) {
+func (r *Carrier) FetchPeer(ctx context.Context, peer roster.Instance, request exchange.Request) (exchange.Answer, error) {
 	start := time.Now()
 	if request.Length > 0 {
-		if err := a.down.WaitSlice(ctx, request.Length); err != nil {
+		if err := r.down.WaitSlice(ctx, request.Length); err != nil {
 			return exchange.Answer{}, err
 		}
 	}
 	held := time.Since(start)
 	address := fmt.Sprintf("http://%s/chunks/%s?offset=%d&length=%d&hold=%s&takeOver=%t&spare=%t",
 		peer.WorkAddress, request.Chunk, request.Offset, request.Length, request.Hold, request.TakeOver, request.Spare)
-	response, err := a.peers.Do(upstream.Request{Method: fiber.MethodGet, URL: address})
+	response, err := r.peers.Do(upstream.Request{Method: fiber.MethodGet, URL: address})
 	if err != nil {
 		return exchange.Answer{}, errors.Mark(err, exchange.ErrStalled)
 	}
 	defer response.Close()
-	body, err := a.readChunk(ctx, response, request)
+	body, err := r.readChunk(ctx, response, request)
 	if err != nil {
 		return exchange.Answer{}, errors.Mark(err, exchange.ErrStalled)
 	}
@@ -136,44 +136,19 @@
 	default:
 		return exchange.Answer{}, exchange.ErrNotWanted
 	}
-	a.base.Meter.ChunkReceived("peer")
+	r.OnReceived()
 	total, _ := strconv.Atoi(response.Header(totalHeader))
 	waited, _ := strconv.Atoi(response.Header(waitedHeader))
 	return exchange.Answer{Data: body, Total: total, Waited: held + time.Duration(waited)*time.Microsecond}, nil
 }
 
-// readChunk reads the answer of another agent. A slice has waited for the link
+// readChunk reads the answer of another instance. A slice has waited for the link
 // already.
-func (a *Agent) readChunk(ctx context.Context, response *upstream.Response, request exchange.Request) ([]byte, error) {
+func (r *Carrier) readChunk(ctx context.Context, response *upstream.Response, request exchange.Request) ([]byte, error) {
 	return response.ReadPieces(pace.PieceBytes, func(bytes int) error {
 		if request.Length > 0 || response.Status() != fiber.StatusOK {
 			return ctx.Err()
 		}
-		return a.down.WaitChunk(ctx, bytes)
+		return r.down.WaitChunk(ctx, bytes)
 	})
 }
-
-// fetchOrigin asks the origin for a chunk.
-func (a *Agent) fetchOrigin(ctx context.Context, chunk weights.Digest) ([]byte, error) {
-	data, err := a.readOrigin(ctx, "/chunks/"+chunk.String())
-	if err == nil {
-		err = a.down.WaitChunk(ctx, len(data))
-	}
-	if err == nil {
-		a.base.Meter.ChunkReceived("origin")
-	}
-	return data, err
-}
-
-func (a *Agent) readOrigin(ctx context.Context, path string) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, originTimeout)
-	defer cancel()
-	status, body, err := a.origin(ctx, fiber.MethodGet, a.Settings.Weights.OriginURL+path, nil)
-	if err != nil {
-		return nil, errors.Wrapf(err, "read %s from the origin", path)
-	}
-	if status != fiber.StatusOK {
-		return nil, errors.Newf("read %s from the origin: status %d", path, status)
-	}
-	return body, nil
-}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -51,6 +51,9 @@
 var (
 	ConfigurationApplied = Event{2101, logrus.InfoLevel, "configuration applied", nothingToDo}
 	ObjectUnreadable     = Event{2102, logrus.WarnLevel, "object in the store unreadable", "Look at who wrote it; it is left out."}
+	ZoneEvacuated        = Event{2103, logrus.InfoLevel, "availability zone taken out of service", nothingToDo}
+	ZoneReturned         = Event{2104, logrus.InfoLevel, "availability zone back in service", nothingToDo}
+	RolloutNamed         = Event{2105, logrus.InfoLevel, "weights named by the operators", nothingToDo}
 )
 
 // Events of weight distribution.
@@ -65,6 +68,8 @@
 	ManifestFailed   = Event{3008, logrus.WarnLevel, "manifest not available, will retry", "Check that the ticket's manifest digest was published to the origin."}
 	MemoryTooSmall   = Event{3009, logrus.ErrorLevel, "weight set larger than chunkMemory", "Raise chunkMemory in the agent's settings."}
 	SwapWaiting      = Event{3010, logrus.DebugLevel, "swap waits for a predecessor", nothingToDo}
+	EngineLost       = Event{3012, logrus.WarnLevel, "engine does not answer its loader", "Look at the engine if it repeats."}
+	EngineRegained   = Event{3013, logrus.InfoLevel, "engine answers its loader again", nothingToDo}
 	RolloutAbandoned = Event{3011, logrus.InfoLevel, "weight set replaced before it was complete", nothingToDo}
 )
 
@@ -82,9 +87,9 @@
 	return []Event{
 		ProcessStarted, DrainStarted, DrainEnded, DrainTimedOut, ServerFailed, InvariantBroken,
 		TicketsApplied, StoreUnreachable, StoreReachable, ParentChanged, FreshnessLost, FreshnessRegained, TicketUnreadable,
-		ConfigurationApplied, ObjectUnreadable,
+		ConfigurationApplied, ObjectUnreadable, ZoneEvacuated, ZoneReturned, RolloutNamed,
 		RolloutStarted, SetComplete, ChunkCorrupt, PeerExcluded, LoadOrdered, LoadFailed, LoadDone, ManifestFailed,
-		MemoryTooSmall, SwapWaiting, RolloutAbandoned,
+		MemoryTooSmall, SwapWaiting, RolloutAbandoned, EngineLost, EngineRegained,
 		EndpointCold, AnswerMismatched, StreamResumed, StreamBroken, CallUnknown,
 	}
 }
--- a/internal/exchange/burst.go
+++ b/internal/exchange/burst.go
@@ -58,7 +58,7 @@
 		case !left:
 			return
 		default:
-			duty.Sleep(ctx, assistInterval)
+			duty.Sleep(ctx, b.fetcher.Timing.AssistInterval)
 		}
 	}
 }
@@ -80,9 +80,9 @@
 		reachable := b.tryRound(ctx, sources, index, impatient)
 		switch {
 		case orphan:
-			duty.Sleep(ctx, orphanPause)
+			duty.Sleep(ctx, b.fetcher.Timing.OrphanPause)
 		case !reachable:
-			duty.Sleep(ctx, retryPause)
+			duty.Sleep(ctx, b.fetcher.Timing.RetryPause)
 		}
 	}
 	b.noteInterval(time.Since(start))
@@ -94,9 +94,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.interval == 0 {
-		return firstPatience
+		return b.fetcher.Timing.FirstPatience
 	}
-	return min(firstPatience, max(minPatience, patienceIntervals*b.interval))
+	return min(b.fetcher.Timing.FirstPatience, max(b.fetcher.Timing.MinPatience, patienceIntervals*b.interval))
 }
 
 // noteInterval keeps a moving average of the time that a chunk takes.
@@ -126,7 +126,7 @@
 		kind = source.Kind
 		request := Request{Chunk: b.manifest.Chunks()[index], TakeOver: b.takesOver(sources, source)}
 		if place == 0 || source.Kind != swarm.Peer || request.TakeOver {
-			request.Hold = parentHold
+			request.Hold = b.fetcher.Timing.Hold
 		} else {
 			request.Spare = true
 		}
@@ -156,7 +156,7 @@
 // mayHaveLater reports whether the source that gave the error is alive and may
 // have the chunk later.
 func (b *burst) mayHaveLater(err error) bool {
-	early := time.Since(b.start) < notWantedGrace
+	early := time.Since(b.start) < b.fetcher.Timing.UnwantedGrace
 	return errors.Is(err, ErrNotYet) || errors.Is(err, ErrBusy) || (early && errors.Is(err, ErrNotWanted))
 }
 
@@ -201,7 +201,7 @@
 func (b *burst) note(ctx context.Context, source swarm.Source, err error) {
 	if errors.Is(err, ErrNotWanted) {
 		// The answer came at once; asking again at once would be a busy loop.
-		duty.Sleep(ctx, retryPause)
+		duty.Sleep(ctx, b.fetcher.Timing.RetryPause)
 	}
 	if ctx.Err() != nil || b.mayHaveLater(err) {
 		return
--- a/internal/exchange/fetcher.go
+++ b/internal/exchange/fetcher.go
@@ -18,31 +18,18 @@
 )
 
 const (
-	// parentHold is how long the preferred source may hold a request.
-	parentHold = 2 * time.Second
-	// A worker that waits for its preferred source longer than its patience
-	// asks the others whether they have the chunk.
-	firstPatience     = 20 * time.Second
-	minPatience       = 3 * time.Second
+	// patienceIntervals is the number of usual chunk times that a worker waits for
+	// its preferred source.
 	patienceIntervals = 6
 	// intervalWeight is the weight of the past in the moving average.
 	intervalWeight = 8
-	// retryPause is the pause after a round in which every source failed.
-	retryPause = 200 * time.Millisecond
 	// A stripe lags when it has more than lagFactor times the median number of
 	// chunks left, and lagChunks more.
-	lagFactor      = 2
-	lagChunks      = 2
-	assistInterval = 500 * time.Millisecond
+	lagFactor = 2
+	lagChunks = 2
 	// spareShare is the part of the children's uploads at which an instance
 	// serves no others.
 	spareShare = 2
-	// orphanPause is the pause between two rounds of a worker whose preferred
-	// source is gone.
-	orphanPause = 300 * time.Millisecond
-	// notWantedGrace is how long after the start of a burst an instance that
-	// does not want the set yet counts as one that will.
-	notWantedGrace = 10 * time.Second
 	// takeOverWorkers fetch chunks that other instances asked for because the
 	// root for them is gone; takeOverRing bounds those that wait.
 	takeOverWorkers = 2
@@ -59,8 +46,8 @@
 // SourcesFunc returns where to get a chunk, the preferred source first.
 type SourcesFunc func(layout *swarm.Layout, chunk int) []swarm.Source
 
-// Fetcher fetches weight sets. Set the exported fields before Fetch; Fetch and
-// Serve may run at the same time.
+// Fetcher fetches weight sets, one at a time. Set the exported fields before
+// Fetch; Serve may run at the same time.
 type Fetcher struct {
 	Self   roster.Instance
 	Home   string
@@ -75,6 +62,8 @@
 	FetchPeer func(ctx context.Context, peer roster.Instance, request Request) (Answer, error)
 	// FetchOrigin asks the origin for a whole chunk.
 	FetchOrigin func(ctx context.Context, chunk weights.Digest) ([]byte, error)
+	// Timing holds the waits; zero means MinuteTiming.
+	Timing Timing
 	// Sources chooses the sources; nil means swarm.Layout.Sources.
 	Sources SourcesFunc
 	// Unit scales sizes in tests whose chunks are smaller than real ones.
@@ -101,7 +90,10 @@
 // Fetch returns when every chunk of the pinned manifest is held, or when ctx
 // ends. Members are the instances that want the same set.
 func (f *Fetcher) Fetch(ctx context.Context, manifest *weights.Manifest, members []roster.Instance) error {
-	f.suspects.CompareAndSwap(nil, newSuspects())
+	if f.Timing == (Timing{}) {
+		f.Timing = MinuteTiming()
+	}
+	f.suspects.CompareAndSwap(nil, newSuspects(f.Timing))
 	burst := &burst{
 		fetcher:  f,
 		manifest: manifest,
--- a/internal/exchange/suspects.go
+++ b/internal/exchange/suspects.go
@@ -6,10 +6,6 @@
 )
 
 const (
-	// firstExclusion is how long a source is left out after its first failure;
-	// each further one doubles it.
-	firstExclusion = 2 * time.Second
-	maxExclusion   = 15 * time.Second
 	// corruptStrikes is the number of corrupt chunks, less those forgiven, at
 	// which a source is left out.
 	corruptStrikes = 3
@@ -22,6 +18,7 @@
 // before it passes it on, so a corrupt chunk was damaged on the last hop. No
 // exclusion is permanent. It is safe for concurrent use.
 type suspects struct {
+	timing  Timing
 	mu      sync.Mutex
 	sources map[string]*suspicion
 }
@@ -33,7 +30,9 @@
 	struckAt  time.Time
 }
 
-func newSuspects() *suspects { return &suspects{sources: map[string]*suspicion{}} }
+func newSuspects(timing Timing) *suspects {
+	return &suspects{timing: timing, sources: map[string]*suspicion{}}
+}
 
 // excluded reports whether the source is left out for now.
 func (s *suspects) excluded(name string) bool {
@@ -94,6 +93,6 @@
 	if now.Before(held.until) {
 		return
 	}
-	held.exclusion = min(maxExclusion, max(firstExclusion, 2*held.exclusion))
+	held.exclusion = min(s.timing.MaxExclusion, max(s.timing.FirstExclusion, 2*held.exclusion))
 	held.until = now.Add(held.exclusion)
 }
--- /dev/null
+++ b/internal/exchange/timing.go
@@ -0,0 +1,47 @@
+package exchange
+
+import "time"
+
+// Timing holds the waits of a burst. They follow from how long the burst may take.
+type Timing struct {
+	// Hold is how long the preferred source may hold a request.
+	Hold time.Duration
+	// FirstPatience is how long a worker waits for its preferred source before it
+	// asks the others, as long as it does not know how long a chunk takes.
+	FirstPatience time.Duration
+	// MinPatience is the least of such waits later.
+	MinPatience time.Duration
+	// RetryPause is the pause after a round in which every source failed.
+	RetryPause time.Duration
+	// AssistInterval is how often a worker whose own stripe is done looks at the
+	// others.
+	AssistInterval time.Duration
+	// OrphanPause is the pause between two rounds of a worker whose preferred
+	// source is gone.
+	OrphanPause time.Duration
+	// UnwantedGrace is how long after the start of a burst an instance that does not
+	// want the set yet counts as one that will.
+	UnwantedGrace time.Duration
+	// FirstExclusion is how long a source is left out after its first failure; each
+	// further one doubles it, up to MaxExclusion.
+	FirstExclusion time.Duration
+	MaxExclusion   time.Duration
+}
+
+// MinuteTiming is for bursts that take minutes.
+func MinuteTiming() Timing {
+	return Timing{
+		Hold: 2 * time.Second, FirstPatience: 20 * time.Second, MinPatience: 3 * time.Second,
+		RetryPause: 200 * time.Millisecond, AssistInterval: 500 * time.Millisecond, OrphanPause: 300 * time.Millisecond,
+		UnwantedGrace: 10 * time.Second, FirstExclusion: 2 * time.Second, MaxExclusion: 15 * time.Second,
+	}
+}
+
+// SecondTiming is for small sets that must be everywhere within seconds.
+func SecondTiming() Timing {
+	return Timing{
+		Hold: 500 * time.Millisecond, FirstPatience: time.Second, MinPatience: 400 * time.Millisecond,
+		RetryPause: 50 * time.Millisecond, AssistInterval: 100 * time.Millisecond, OrphanPause: 60 * time.Millisecond,
+		UnwantedGrace: 3 * time.Second, FirstExclusion: 500 * time.Millisecond, MaxExclusion: 4 * time.Second,
+	}
+}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 )
 
@@ -28,10 +29,11 @@
 // none.
 func (v *View) Wanted(model string) int64 { return v.wanted[model] }
 
-// Holder holds the newest view. It is safe for concurrent use, but only one
-// goroutine may change it at a time.
+// Holder holds the newest view. It is safe for concurrent use.
 type Holder struct {
 	current atomic.Pointer[View]
+	// changing serializes the changes.
+	changing sync.Mutex
 }
 
 // NewHolder returns a holder of an empty view.
@@ -53,21 +55,23 @@
 	for _, list := range byService {
 		slices.SortFunc(list, func(a, b Endpoint) int { return strings.Compare(a.ID, b.ID) })
 	}
-	next := *h.View()
-	next.endpoints = byService
-	h.current.Store(&next)
+	h.change(func(next *View) { next.endpoints = byService })
 }
 
 // SetEvacuated replaces the availability zones that are out of service.
 func (h *Holder) SetEvacuated(zones map[string]bool) {
-	next := *h.View()
-	next.evacuated = maps.Clone(zones)
-	h.current.Store(&next)
+	h.change(func(next *View) { next.evacuated = maps.Clone(zones) })
 }
 
 // SetWanted replaces the versions that the operators want of each model.
 func (h *Holder) SetWanted(versions map[string]int64) {
+	h.change(func(next *View) { next.wanted = maps.Clone(versions) })
+}
+
+func (h *Holder) change(set func(next *View)) {
+	h.changing.Lock()
+	defer h.changing.Unlock()
 	next := *h.View()
-	next.wanted = maps.Clone(versions)
+	set(&next)
 	h.current.Store(&next)
 }
--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -78,7 +78,7 @@
 func (g *Gateway) begin(c *fasthttp.RequestCtx) *flight {
 	f := &flight{
 		gateway: g, http: c, call: platform.ReadCall(&c.Request.Header), arrived: time.Now(), conn: c.Conn(),
-		configuration: g.configuration.Current(),
+		configuration: g.observer.Configuration(),
 	}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	g.flights.add(f)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,7 +18,7 @@
 	"github.com/mimosaward/mimosaward/internal/dispatch"
 	"github.com/mimosaward/mimosaward/internal/duty"
 	"github.com/mimosaward/mimosaward/internal/event"
-	"github.com/mimosaward/mimosaward/internal/fleet"
+	"github.com/mimosaward/mimosaward/internal/observer"
 	"github.com/mimosaward/mimosaward/internal/retry"
 	"github.com/mimosaward/mimosaward/platform"
 )
@@ -51,24 +51,21 @@
 	// Stale reports whether an idle connection was closed or holds bytes.
 	Stale func(net.Conn) bool
 
-	configuration configuration.Holder
-	fleet         *fleet.Holder
-	dispatcher    *dispatch.Dispatcher
-	pool          *connection.Pool
-	retries       *retry.Budget
-	flights       flights
-	store         *platform.Store
-	gateways      gateways
-	stopping      atomic.Bool
+	observer   *observer.Observer
+	dispatcher *dispatch.Dispatcher
+	pool       *connection.Pool
+	retries    *retry.Budget
+	flights    flights
+	store      *platform.Store
+	gateways   gateways
+	stopping   atomic.Bool
 }
 
 // Run serves until stop ends, then finishes the requests in flight.
 func (g *Gateway) Run(stop context.Context) error {
 	g.prepare()
 	group := duty.NewGroup(context.Background())
-	for _, follow := range g.informers() {
-		group.Go(follow.Run)
-	}
+	group.Go(g.observer.Run)
 	group.Go(g.register)
 	group.Every(leaverInterval, func(context.Context) { g.flights.cancelLeft(g.Left) })
 	group.Every(sweepInterval, func(context.Context) { g.pool.Sweep() })
@@ -100,14 +97,15 @@
 }
 
 func (g *Gateway) prepare() {
-	g.fleet = fleet.NewHolder()
+	g.store = platform.NewStore(g.Deployment.Store.Address, g.DialStore)
+	g.observer = (&observer.Observer{List: g.store.List, Watch: g.store.Watch, Regions: g.Deployment.Regions, Log: g.Log}).Open()
+	g.observer.Follow(gatewayKind, g.gateways.apply)
 	g.dispatcher = &dispatch.Dispatcher{
 		Region: g.Deployment.Instance.Region, AvailabilityZone: g.Deployment.Instance.AvailabilityZone,
-		View: g.fleet.View, Gateways: g.gateways.count,
+		View: g.observer.Fleet, Gateways: g.gateways.count,
 	}
 	g.pool = &connection.Pool{Dial: g.Dial, Stale: g.Stale}
 	g.retries = &retry.Budget{Percent: 15}
-	g.store = platform.NewStore(g.Deployment.Store.Address, g.DialStore)
 }
 
 func newServer(handler fasthttp.RequestHandler) *fasthttp.Server {
@@ -175,5 +173,5 @@
 }
 
 func (g *Gateway) ready() bool {
-	return !g.stopping.Load() && g.configuration.Current() != nil
+	return !g.stopping.Load() && g.observer.Configuration() != nil
 }
--- /dev/null
+++ b/internal/loader/loader.go
@@ -0,0 +1,156 @@
+// Package loader brings weights to the engine on its instance: it fetches the
+// version that the operators want from other instances or the origin, stages it,
+// orders the engine to load it, and tells gateways how the engine is.
+package loader
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gofiber/fiber/v3"
+	"github.com/valyala/fasthttp"
+
+	"github.com/mimosaward/mimosaward/internal/carrier"
+	"github.com/mimosaward/mimosaward/internal/control"
+	"github.com/mimosaward/mimosaward/internal/deployment"
+	"github.com/mimosaward/mimosaward/internal/duty"
+	"github.com/mimosaward/mimosaward/internal/event"
+	"github.com/mimosaward/mimosaward/internal/exchange"
+	"github.com/mimosaward/mimosaward/internal/observer"
+	"github.com/mimosaward/mimosaward/internal/roster"
+	"github.com/mimosaward/mimosaward/internal/size"
+	"github.com/mimosaward/mimosaward/internal/weights"
+	"github.com/mimosaward/mimosaward/platform"
+)
+
+const (
+	// chunkMemory bounds the chunks: the served set, the wanted one, and one more
+	// that replaces it on the way. It is a fifth of the smallest instance.
+	chunkMemory = 32 * size.MiB
+	// peerTimeout bounds the wait for another instance, beyond the time for which
+	// it may hold a request.
+	peerTimeout = 1500 * time.Millisecond
+	// fanOut is the number of instances that get each chunk from one.
+	fanOut = 8
+	// thinLinkDelay is the queueing delay that weights may add on a link between
+	// regions, well below the time that an event of a stream may be under way.
+	thinLinkDelay = 20 * time.Millisecond
+)
+
+// Loader serves one engine. Set the exported fields before Run.
+type Loader struct {
+	Deployment deployment.Deployment
+	Log        *event.Logger
+	Listen     func(address string) (net.Listener, error)
+	// Dial connects to another process.
+	Dial func(address string) (net.Conn, error)
+
+	observer *observer.Observer
+	engine   *platform.Engine
+	origin   *platform.Origin
+	store    *weights.Store
+	fetcher  *exchange.Fetcher
+	carrier  *carrier.Carrier
+	status   statusBoard
+	goals    goalClock
+	adopted  adoptedSet
+	places   places
+}
+
+// ControlPort returns the port at which loaders answer gateways.
+func ControlPort(ports deployment.Ports) int { return ports.First }
+
+// chunkPort returns the port at which loaders answer each other.
+func chunkPort(ports deployment.Ports) int { return ports.First + 1 }
+
+// Run serves until stop ends.
+func (l *Loader) Run(stop context.Context) error {
+	l.prepare()
+	control, err := l.controlServer()
+	if err != nil {
+		return err
+	}
+	controlListener, err := l.Listen(l.ownAddress(ControlPort(l.Deployment.PeerPorts)))
+	if err != nil {
+		return errors.Wrap(err, "listen for gateways")
+	}
+	chunkListener, err := l.Listen(l.ownAddress(chunkPort(l.Deployment.PeerPorts)))
+	if err != nil {
+		return errors.Wrap(err, "listen for other instances")
+	}
+	app := fiber.New()
+	l.carrier.Routes(app)
+	server := &fasthttp.Server{Handler: app.Handler(), NoDefaultServerHeader: true, IdleTimeout: peerIdle}
+	group := duty.NewGroup(stop)
+	group.Go(l.observer.Run)
+	group.Go(func(ctx context.Context) { control.Run(ctx, controlListener) })
+	group.Go(func(context.Context) { _ = server.Serve(chunkListener) })
+	group.Go(l.watchEngine)
+	group.Go(l.roll)
+	l.Log.Emit(event.ProcessStarted, event.Fields{"engine": l.Deployment.Endpoint.Address})
+	<-stop.Done()
+	// Nothing needs a graceful end: another loader goes on from what is staged.
+	return nil
+}
+
+// peerIdle is how long an idle connection of another instance is kept.
+const peerIdle = 10 * time.Second
+
+func (l *Loader) ownAddress(port int) string {
+	return net.JoinHostPort(l.Deployment.Instance.IP, strconv.Itoa(port))
+}
+
+func (l *Loader) prepare() {
+	store := platform.NewStore(l.Deployment.Store.Address, l.Dial)
+	l.observer = (&observer.Observer{List: store.List, Watch: store.Watch, Regions: l.Deployment.Regions, Log: l.Log}).Open()
+	l.engine = platform.NewEngine(l.Deployment.Endpoint.Address, l.Dial)
+	l.origin = platform.NewOrigin(l.Dial)
+	l.store = weights.NewStore(chunkMemory)
+	l.carrier = (&carrier.Carrier{
+		Dial: l.Dial, Timeout: peerTimeout, LinkRate: l.Deployment.Resources.LinkBytesPerS,
+		Serve: func(ctx context.Context, request exchange.Request) (exchange.Answer, error) {
+			return l.fetcher.Serve(ctx, request)
+		},
+		OnReceived: func() {},
+	}).Open()
+	l.fetcher = &exchange.Fetcher{
+		Self: l.self(), FanOut: fanOut, Store: l.store, Log: l.Log, Timing: exchange.SecondTiming(),
+		ThinLinkDelay: thinLinkDelay, FetchPeer: l.carrier.FetchPeer, FetchOrigin: l.fetchOrigin,
+	}
+	l.status.changed = make(chan struct{})
+}
+
+func (l *Loader) controlServer() (*control.Server, error) {
+	server := control.NewServer()
+	err := server.Register(ServiceName, &service{loader: l})
+	return server, errors.Wrap(err, "register the loader's service")
+}
+
+// members returns the instances whose engines hold the same model.
+func (l *Loader) members() []roster.Instance {
+	var members []roster.Instance
+	for _, endpoint := range l.observer.Fleet().Service(l.Deployment.Endpoint.Service) {
+		host, _, err := net.SplitHostPort(endpoint.Address)
+		if err != nil {
+			continue
+		}
+		members = append(members, roster.Instance{
+			Name: host, Role: roster.AgentRole, Status: roster.Live,
+			AvailabilityZone: endpoint.AvailabilityZone, Region: endpoint.Region,
+			WorkAddress: net.JoinHostPort(host, strconv.Itoa(chunkPort(l.Deployment.PeerPorts))),
+		})
+	}
+	return members
+}
+
+// self describes the own instance to the layout of a burst.
+func (l *Loader) self() roster.Instance {
+	return roster.Instance{
+		Name: l.Deployment.Instance.IP, Role: roster.AgentRole, Status: roster.Live,
+		AvailabilityZone: l.Deployment.Instance.AvailabilityZone, Region: l.Deployment.Instance.Region,
+		WorkAddress: l.ownAddress(chunkPort(l.Deployment.PeerPorts)),
+	}
+}
--- /dev/null
+++ b/internal/loader/status.go
@@ -0,0 +1,138 @@
+package loader
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/mimosaward/mimosaward/internal/duty"
+	"github.com/mimosaward/mimosaward/internal/engine"
+	"github.com/mimosaward/mimosaward/internal/event"
+)
+
+const (
+	// ServiceName is the name under which loaders answer gateways.
+	ServiceName = "Loader"
+	// StatusMethod asks for the engine's status.
+	StatusMethod = ServiceName + ".Status"
+	// statusInterval is how often the engine is asked how it is; the call stays on
+	// the instance.
+	statusInterval = 100 * time.Millisecond
+	// maxStatusWait bounds how long a question waits for a change.
+	maxStatusWait = time.Second
+)
+
+// StatusArgs asks for the status that follows the one with the number Known, and
+// waits up to Wait for it.
+type StatusArgs struct {
+	Known int64
+	Wait  time.Duration
+}
+
+// StatusReply is an engine's status. Number grows with each change of it.
+type StatusReply struct {
+	Number int64
+	Status engine.Status
+	// Answering is false while the engine does not answer its loader.
+	Answering bool
+}
+
+// service answers the calls of gateways.
+type service struct {
+	loader *Loader
+}
+
+// Status returns the engine's status as soon as it is newer than the known one.
+func (s *service) Status(args *StatusArgs, reply *StatusReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), min(args.Wait, maxStatusWait))
+	defer cancel()
+	*reply = s.loader.status.after(ctx, args.Known)
+	return nil
+}
+
+// statusBoard holds the newest status. It is safe for concurrent use.
+type statusBoard struct {
+	mu      sync.Mutex
+	reply   StatusReply
+	changed chan struct{}
+}
+
+func (b *statusBoard) set(status engine.Status, answering bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	announce := b.reply.Number == 0 || answering != b.reply.Answering || differs(b.reply.Status, status)
+	b.reply.Status, b.reply.Answering = status, answering
+	if announce {
+		b.reply.Number++
+		close(b.changed)
+		b.changed = make(chan struct{})
+	}
+}
+
+// differs reports whether gateways must learn of a change at once. Load alone does
+// not count.
+func differs(a, b engine.Status) bool {
+	if a.Incarnation != b.Incarnation || a.Busy != b.Busy || a.Pace != b.Pace || len(a.Weights) != len(b.Weights) {
+		return true
+	}
+	for index := range a.Weights {
+		if a.Weights[index] != b.Weights[index] {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *statusBoard) current() StatusReply {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.reply
+}
+
+// after returns the status once its number is above known, or when ctx ends.
+func (b *statusBoard) after(ctx context.Context, known int64) StatusReply {
+	b.mu.Lock()
+	reply, changed := b.reply, b.changed
+	b.mu.Unlock()
+	if reply.Number > known {
+		return reply
+	}
+	select {
+	case <-changed:
+	case <-ctx.Done():
+	}
+	return b.current()
+}
+
+// watchEngine asks the engine how it is until ctx ends.
+func (l *Loader) watchEngine(ctx context.Context) {
+	answering := true
+	for ctx.Err() == nil {
+		status, err := l.engine.Status(ctx, l.layers())
+		if (err == nil) != answering {
+			answering = err == nil
+			l.logEngine(err)
+		}
+		if err != nil {
+			status = l.status.current().Status
+		}
+		l.status.set(status, err == nil)
+		duty.Sleep(ctx, statusInterval)
+	}
+}
+
+func (l *Loader) logEngine(err error) {
+	if err != nil {
+		l.Log.Emit(event.EngineLost, event.Fields{"error": err.Error()})
+		return
+	}
+	l.Log.Emit(event.EngineRegained, event.Fields{})
+}
+
+// layers returns the number of layers of the engine's model.
+func (l *Loader) layers() int {
+	if _, described, known := l.model(); known {
+		return described.Layers
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/observer/apply.go
@@ -0,0 +1,90 @@
+package observer
+
+import (
+	"github.com/mimosaward/mimosaward/internal/event"
+	"github.com/mimosaward/mimosaward/internal/fleet"
+	"github.com/mimosaward/mimosaward/internal/informer"
+	"github.com/mimosaward/mimosaward/platform"
+)
+
+func (o *Observer) applyConfiguration(snapshot informer.Snapshot) {
+	object, found := snapshot.Objects[platform.ConfigurationName]
+	if !found {
+		return
+	}
+	next, err := platform.DecodeConfiguration(object.Value)
+	if err != nil {
+		o.noteUnreadable(platform.KindConfiguration, object, err)
+		return
+	}
+	if o.configuration.Offer(next) {
+		o.Log.Emit(event.ConfigurationApplied, event.Fields{"version": next.Version(), "revision": object.Revision})
+	}
+}
+
+func (o *Observer) applyEndpoints(snapshot informer.Snapshot) {
+	endpoints := make([]fleet.Endpoint, 0, len(snapshot.Objects))
+	for _, object := range snapshot.Objects {
+		endpoint, err := platform.DecodeEndpoint(object.Name, object.Value, o.Regions, o.layers)
+		if err != nil {
+			o.noteUnreadable(platform.KindEndpoints, object, err)
+			continue
+		}
+		endpoints = append(endpoints, endpoint)
+	}
+	o.fleet.SetEndpoints(endpoints)
+}
+
+// layers returns the number of layers of a service's model.
+func (o *Observer) layers(service string) int {
+	if current := o.configuration.Current(); current != nil {
+		if found, known := current.Service(service); known && found.Engine != nil {
+			return found.Engine.Layers
+		}
+	}
+	return 0
+}
+
+func (o *Observer) applyEvacuations(snapshot informer.Snapshot) {
+	zones := map[string]bool{}
+	for name, object := range snapshot.Objects {
+		zones[name] = true
+		if !o.fleet.View().Evacuated(name) {
+			o.Log.Emit(event.ZoneEvacuated, event.Fields{"availabilityZone": name, "revision": object.Revision})
+		}
+	}
+	for zone := range o.Regions {
+		if o.fleet.View().Evacuated(zone) && !zones[zone] {
+			o.Log.Emit(event.ZoneReturned, event.Fields{"availabilityZone": zone, "revision": snapshot.Revision})
+		}
+	}
+	o.fleet.SetEvacuated(zones)
+}
+
+func (o *Observer) applyRollouts(snapshot informer.Snapshot) {
+	versions := map[string]int64{}
+	for _, object := range snapshot.Objects {
+		model, version, err := platform.DecodeRollout(object.Value)
+		if err != nil {
+			o.noteUnreadable(platform.KindRollouts, object, err)
+			continue
+		}
+		versions[model] = version
+		if o.fleet.View().Wanted(model) < version {
+			o.Log.Emit(event.RolloutNamed, event.Fields{"model": model, "version": version, "revision": object.Revision})
+		}
+	}
+	o.fleet.SetWanted(versions)
+}
+
+// noteUnreadable reports an object that cannot be read, once for each change of it.
+func (o *Observer) noteUnreadable(kind string, object informer.Object, cause error) {
+	key := kind + "/" + object.Name
+	o.mu.Lock()
+	reported := o.unreadable[key] == object.Revision
+	o.unreadable[key] = object.Revision
+	o.mu.Unlock()
+	if !reported {
+		o.Log.Emit(event.ObjectUnreadable, event.Fields{"object": key, "revision": object.Revision, "error": cause.Error()})
+	}
+}
--- /dev/null
+++ b/internal/observer/observer.go
@@ -0,0 +1,101 @@
+// Package observer follows what the operators and the endpoints write into the
+// store, and holds the newest configuration and view of the endpoints. It decides
+// nothing about requests.
+package observer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/mimosaward/mimosaward/internal/configuration"
+	"github.com/mimosaward/mimosaward/internal/duty"
+	"github.com/mimosaward/mimosaward/internal/event"
+	"github.com/mimosaward/mimosaward/internal/fleet"
+	"github.com/mimosaward/mimosaward/internal/informer"
+	"github.com/mimosaward/mimosaward/platform"
+)
+
+// settle is the pause in which changes in quick succession are gathered. It is well
+// below every bound in which a change must be in force.
+const settle = 100 * time.Millisecond
+
+// Observer follows the store. Set the exported fields before Run; the methods are
+// safe for concurrent use.
+type Observer struct {
+	List  func(ctx context.Context, kind, after string) (informer.Page, error)
+	Watch func(ctx context.Context, kind string, after int64) (informer.Batch, error)
+	// Regions holds the region of each availability zone.
+	Regions map[string]string
+	Log     *event.Logger
+
+	configuration configuration.Holder
+	fleet         *fleet.Holder
+	informers     []*informer.Informer
+
+	mu      sync.Mutex
+	changed chan struct{}
+	// unreadable holds the revisions of the objects that were reported as
+	// unreadable, so that each is reported once.
+	unreadable map[string]int64
+}
+
+// Open prepares the observer.
+func (o *Observer) Open() *Observer {
+	o.fleet = fleet.NewHolder()
+	o.changed = make(chan struct{})
+	o.unreadable = map[string]int64{}
+	o.Follow(platform.KindConfiguration, o.applyConfiguration)
+	o.Follow(platform.KindEndpoints, o.applyEndpoints)
+	o.Follow(platform.KindEvacuations, o.applyEvacuations)
+	o.Follow(platform.KindRollouts, o.applyRollouts)
+	return o
+}
+
+// Follow follows one more kind; apply is called with each change. It must be called
+// before Run.
+func (o *Observer) Follow(kind string, apply func(informer.Snapshot)) {
+	o.informers = append(o.informers, &informer.Informer{
+		Kind: kind, Settle: settle, List: o.List, Watch: o.Watch,
+		OnChange: func(snapshot informer.Snapshot) {
+			apply(snapshot)
+			o.announce()
+		},
+		OnAvailability: func(available bool, err error) {
+			if available {
+				o.Log.Emit(event.StoreReachable, event.Fields{"kind": kind})
+				return
+			}
+			o.Log.Emit(event.StoreUnreachable, event.Fields{"kind": kind, "error": err.Error()})
+		},
+	})
+}
+
+// Run follows the store until ctx ends.
+func (o *Observer) Run(ctx context.Context) {
+	group := duty.NewGroup(ctx)
+	for _, follow := range o.informers {
+		group.Go(follow.Run)
+	}
+	group.Wait()
+}
+
+// Configuration returns the configuration in force, nil before the first one.
+func (o *Observer) Configuration() *configuration.Configuration { return o.configuration.Current() }
+
+// Fleet returns what is known about the endpoints.
+func (o *Observer) Fleet() *fleet.View { return o.fleet.View() }
+
+// Changed returns a channel that is closed at the next change.
+func (o *Observer) Changed() <-chan struct{} {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.changed
+}
+
+func (o *Observer) announce() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
--- a/internal/weights/manifest.go
+++ b/internal/weights/manifest.go
@@ -51,6 +51,19 @@
 	return manifest, nil
 }
 
+// NewManifest returns the manifest of a set that is one file cut into chunks of
+// the same size, and its text.
+func NewManifest(model, version string, chunkBytes int, chunks []Digest) (*Manifest, []byte, error) {
+	text, err := json.Marshal(Manifest{Model: model, Version: version, ChunkBytes: chunkBytes, Parts: []Part{{
+		Name: model, Kind: BasePart, Bytes: int64(len(chunks)) * int64(chunkBytes), Chunks: chunks,
+	}}})
+	if err != nil {
+		return nil, nil, errors.Wrapf(err, "encode the manifest of %s version %s", model, version)
+	}
+	manifest, err := DecodeManifest(text, Sum(text))
+	return manifest, text, err
+}
+
 // index lists the distinct chunks and checks the sizes.
 func (m *Manifest) index() error {
 	if m.ChunkBytes <= 0 {
--- a/internal/weights/store.go
+++ b/internal/weights/store.go
@@ -175,6 +175,13 @@
 	return nil
 }
 
+// Wants reports whether a pinned manifest contains the chunk.
+func (s *Store) Wants(digest Digest) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.entries[digest] != nil
+}
+
 // Has reports whether the chunk is held.
 func (s *Store) Has(digest Digest) bool {
 	s.mu.Lock()
