Let gateways ask loaders how their engines are, and brief them

Gateways now hold a question at each loader, which answers at once when the engine's state changes; the question carries what the loader must know of the store. A loader that no gateway calls for 3 s reads the store itself. Fetching goes on beside loads.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/mimosaward/mimosaward/internal/engine"
 	"github.com/mimosaward/mimosaward/internal/fleet"
 )
 
@@ -32,6 +33,34 @@
 type endpointState struct {
 	own         int
 	pausedUntil time.Time
+	// status is what the engine's loader said last, at statusAt.
+	status    engine.Status
+	answering bool
+	statusAt  time.Time
+}
+
+// NoteStatus records what an engine's loader said.
+func (d *Dispatcher) NoteStatus(endpoint string, status engine.Status, answering bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	held := d.state(endpoint)
+	held.status, held.answering, held.statusAt = status, answering, time.Now()
+	d.announce()
+}
+
+// statusMaxAge is how long a loader's word goes before the endpoint's own entry in
+// the store.
+const statusMaxAge = 2 * time.Second
+
+// version returns the version of a model that an endpoint serves now, 0 if none.
+func (s *endpointState) version(endpoint *fleet.Endpoint, model string, now time.Time) int64 {
+	if now.Sub(s.statusAt) > statusMaxAge || s.status.Incarnation < endpoint.Incarnation {
+		return endpoint.Version(model)
+	}
+	if s.status.Busy || !s.answering {
+		return 0
+	}
+	return s.status.Version(model)
 }
 
 // Acquire returns the endpoint for a job, waiting for one if that helps.
@@ -81,10 +110,10 @@
 		if len(job.Regions) > 0 && !slices.Contains(job.Regions, endpoint.Region) {
 			continue
 		}
-		if job.Model != "" && endpoint.Version(job.Model) == 0 {
+		state := d.state(endpoint.ID)
+		if job.Model != "" && state.version(&endpoint, job.Model, now) == 0 {
 			continue
 		}
-		state := d.state(endpoint.ID)
 		if now.Before(state.pausedUntil) {
 			continue
 		}
@@ -133,6 +162,11 @@
 	}
 	g.ended = true
 	g.state.own--
+	d.announce()
+}
+
+// announce wakes the jobs that wait.
+func (d *Dispatcher) announce() {
 	if d.freed != nil {
 		close(d.freed)
 		d.freed = nil
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -70,6 +70,8 @@
 	SwapWaiting      = Event{3010, logrus.DebugLevel, "swap waits for a predecessor", nothingToDo}
 	EngineLost       = Event{3012, logrus.WarnLevel, "engine does not answer its loader", "Look at the engine if it repeats."}
 	EngineRegained   = Event{3013, logrus.InfoLevel, "engine answers its loader again", nothingToDo}
+	GatewaysSilent   = Event{3014, logrus.WarnLevel, "no gateway calls, the loader reads the store itself", "Look at the gateways and the network if it repeats."}
+	GatewaysHeard    = Event{3015, logrus.InfoLevel, "a gateway calls again", nothingToDo}
 	RolloutAbandoned = Event{3011, logrus.InfoLevel, "weight set replaced before it was complete", nothingToDo}
 )
 
@@ -79,6 +81,8 @@
 	AnswerMismatched = Event{4002, logrus.WarnLevel, "answer did not belong to the request", "Look at the engine; the caller got an explicit error or a retry."}
 	StreamResumed    = Event{4003, logrus.InfoLevel, "stream resumed on another endpoint", nothingToDo}
 	StreamBroken     = Event{4004, logrus.WarnLevel, "stream ended by an explicit error", "The caller was told; look at the named endpoint."}
+	LoaderLost       = Event{4006, logrus.WarnLevel, "loader of an engine does not answer", "Look at the instance; its engine still serves what it holds."}
+	LoaderRegained   = Event{4007, logrus.InfoLevel, "loader of an engine answers again", nothingToDo}
 	CallUnknown      = Event{4005, logrus.WarnLevel, "outcome of a non-idempotent call is unknown", "The caller was told; the key stays used."}
 )
 
@@ -89,7 +93,7 @@
 		TicketsApplied, StoreUnreachable, StoreReachable, ParentChanged, FreshnessLost, FreshnessRegained, TicketUnreadable,
 		ConfigurationApplied, ObjectUnreadable, ZoneEvacuated, ZoneReturned, RolloutNamed,
 		RolloutStarted, SetComplete, ChunkCorrupt, PeerExcluded, LoadOrdered, LoadFailed, LoadDone, ManifestFailed,
-		MemoryTooSmall, SwapWaiting, RolloutAbandoned, EngineLost, EngineRegained,
-		EndpointCold, AnswerMismatched, StreamResumed, StreamBroken, CallUnknown,
+		MemoryTooSmall, SwapWaiting, RolloutAbandoned, EngineLost, EngineRegained, GatewaysSilent, GatewaysHeard,
+		EndpointCold, AnswerMismatched, StreamResumed, StreamBroken, CallUnknown, LoaderLost, LoaderRegained,
 	}
 }
--- a/internal/exchange/burst.go
+++ b/internal/exchange/burst.go
@@ -190,12 +190,35 @@
 		b.fetcher.counters.OriginChunks.Add(1)
 		return b.fetcher.FetchOrigin(ctx, request.Chunk)
 	case swarm.FarPeer:
-		return b.fetchSlices(ctx, source, request)
+		if b.fetcher.ThinLinkDelay > 0 {
+			return b.fetchSlices(ctx, source, request)
+		}
+		return b.fetchWholeFar(ctx, source, request)
 	default:
-		b.fetcher.counters.PeerRequests.Add(1)
-		answer, err := b.fetcher.FetchPeer(ctx, source.Peer, request)
-		return answer.Data, err
+		return b.fetchWhole(ctx, source, request)
+	}
+}
+
+func (b *burst) fetchWhole(ctx context.Context, source swarm.Source, request Request) ([]byte, error) {
+	b.fetcher.counters.PeerRequests.Add(1)
+	answer, err := b.fetcher.FetchPeer(ctx, source.Peer, request)
+	return answer.Data, err
+}
+
+// fetchWholeFar gets a small chunk over a thin link at once, after it has waited for
+// the source to have it. Few are in flight, so the queue that they build stays
+// short.
+func (b *burst) fetchWholeFar(ctx context.Context, source swarm.Source, request Request) ([]byte, error) {
+	if err := b.awaitFar(ctx, source, request); err != nil {
+		return nil, err
+	}
+	turn := b.fetcher.farTurn(source.Peer.Region)
+	if err := turn.Take(ctx); err != nil {
+		return nil, err
 	}
+	defer turn.Give()
+	request.Hold = 0
+	return b.fetchWhole(ctx, source, request)
 }
 
 func (b *burst) note(ctx context.Context, source swarm.Source, err error) {
--- a/internal/exchange/fetcher.go
+++ b/internal/exchange/fetcher.go
@@ -54,8 +54,8 @@
 	FanOut int
 	Store  *weights.Store
 	Log    *event.Logger
-	// ThinLinkDelay is the queueing delay that weights may add on a link
-	// between regions.
+	// ThinLinkDelay is the queueing delay that weights may add on a link between
+	// regions. At 0, chunks are so small that they cross such a link whole.
 	ThinLinkDelay time.Duration
 	// FetchPeer asks a peer, and returns ErrNotYet, ErrBusy, ErrNotWanted
 	// or ErrStalled.
--- a/internal/exchange/slices.go
+++ b/internal/exchange/slices.go
@@ -16,6 +16,25 @@
 type linkTable struct {
 	mu    sync.Mutex
 	links map[string]*pace.Controller
+	// turns bound the whole chunks in flight from each other region.
+	turns map[string]*duty.Turn
+}
+
+// farInFlight is the number of whole chunks that an instance has in flight from one
+// other region.
+const farInFlight = 2
+
+// farTurn returns the turn that a whole chunk from another region takes.
+func (f *Fetcher) farTurn(region string) *duty.Turn {
+	f.links.mu.Lock()
+	defer f.links.mu.Unlock()
+	if f.links.turns == nil {
+		f.links.turns = map[string]*duty.Turn{}
+	}
+	if f.links.turns[region] == nil {
+		f.links.turns[region] = &duty.Turn{Slots: farInFlight}
+	}
+	return f.links.turns[region]
 }
 
 // slicesInFlight is the number of slices that a region has in flight on one
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -14,6 +14,7 @@
 // View is what is known at one time. It is immutable.
 type View struct {
 	endpoints map[string][]Endpoint
+	revision  int64
 	evacuated map[string]bool
 	wanted    map[string]int64
 }
@@ -22,6 +23,9 @@
 // change them.
 func (v *View) Service(name string) []Endpoint { return v.endpoints[name] }
 
+// Revision returns the store's revision of the endpoints.
+func (v *View) Revision() int64 { return v.revision }
+
 // Evacuated reports whether an availability zone is out of service.
 func (v *View) Evacuated(zone string) bool { return v.evacuated[zone] }
 
@@ -46,8 +50,8 @@
 // View returns the newest view.
 func (h *Holder) View() *View { return h.current.Load() }
 
-// SetEndpoints replaces the endpoints.
-func (h *Holder) SetEndpoints(endpoints []Endpoint) {
+// SetEndpoints replaces the endpoints by those at a revision of the store.
+func (h *Holder) SetEndpoints(endpoints []Endpoint, revision int64) {
 	byService := map[string][]Endpoint{}
 	for _, endpoint := range endpoints {
 		byService[endpoint.Service] = append(byService[endpoint.Service], endpoint)
@@ -55,7 +59,7 @@
 	for _, list := range byService {
 		slices.SortFunc(list, func(a, b Endpoint) int { return strings.Compare(a.ID, b.ID) })
 	}
-	h.change(func(next *View) { next.endpoints = byService })
+	h.change(func(next *View) { next.endpoints, next.revision = byService, revision })
 }
 
 // SetEvacuated replaces the availability zones that are out of service.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"github.com/mimosaward/mimosaward/internal/configuration"
 	"github.com/mimosaward/mimosaward/internal/connection"
+	"github.com/mimosaward/mimosaward/internal/control"
 	"github.com/mimosaward/mimosaward/internal/deployment"
 	"github.com/mimosaward/mimosaward/internal/dispatch"
 	"github.com/mimosaward/mimosaward/internal/duty"
@@ -58,6 +59,8 @@
 	flights    flights
 	store      *platform.Store
 	gateways   gateways
+	control    *control.Client
+	engines    *engines
 	stopping   atomic.Bool
 }
 
@@ -67,6 +70,7 @@
 	group := duty.NewGroup(context.Background())
 	group.Go(g.observer.Run)
 	group.Go(g.register)
+	group.Go(g.followEngines)
 	group.Every(leaverInterval, func(context.Context) { g.flights.cancelLeft(g.Left) })
 	group.Every(sweepInterval, func(context.Context) { g.pool.Sweep() })
 	failed := make(chan error, 3)
@@ -104,6 +108,10 @@
 		Region: g.Deployment.Instance.Region, AvailabilityZone: g.Deployment.Instance.AvailabilityZone,
 		View: g.observer.Fleet, Gateways: g.gateways.count,
 	}
+	g.control = &control.Client{Dial: g.Dial}
+	g.engines = &engines{
+		Control: g.control, Ports: g.Deployment.PeerPorts, Log: g.Log, Plan: g.loaderPlan, OnStatus: g.dispatcher.NoteStatus,
+	}
 	g.pool = &connection.Pool{Dial: g.Dial, Stale: g.Stale}
 	g.retries = &retry.Budget{Percent: 15}
 }
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -35,9 +35,6 @@
 	peerTimeout = 1500 * time.Millisecond
 	// fanOut is the number of instances that get each chunk from one.
 	fanOut = 8
-	// thinLinkDelay is the queueing delay that weights may add on a link between
-	// regions, well below the time that an event of a stream may be under way.
-	thinLinkDelay = 20 * time.Millisecond
 )
 
 // Loader serves one engine. Set the exported fields before Run.
@@ -48,16 +45,15 @@
 	// Dial connects to another process.
 	Dial func(address string) (net.Conn, error)
 
-	observer *observer.Observer
-	engine   *platform.Engine
-	origin   *platform.Origin
-	store    *weights.Store
-	fetcher  *exchange.Fetcher
-	carrier  *carrier.Carrier
-	status   statusBoard
-	goals    goalClock
-	adopted  adoptedSet
-	places   places
+	engine  *platform.Engine
+	origin  *platform.Origin
+	store   *weights.Store
+	fetcher *exchange.Fetcher
+	carrier *carrier.Carrier
+	plans   *planBoard
+	status  statusBoard
+	sets    heldSets
+	places  places
 }
 
 // ControlPort returns the port at which loaders answer gateways.
@@ -85,11 +81,12 @@
 	l.carrier.Routes(app)
 	server := &fasthttp.Server{Handler: app.Handler(), NoDefaultServerHeader: true, IdleTimeout: peerIdle}
 	group := duty.NewGroup(stop)
-	group.Go(l.observer.Run)
+	group.Go(l.observeUnheard)
 	group.Go(func(ctx context.Context) { control.Run(ctx, controlListener) })
 	group.Go(func(context.Context) { _ = server.Serve(chunkListener) })
 	group.Go(l.watchEngine)
-	group.Go(l.roll)
+	group.Go(l.supply)
+	group.Go(l.keepLoaded)
 	l.Log.Emit(event.ProcessStarted, event.Fields{"engine": l.Deployment.Endpoint.Address})
 	<-stop.Done()
 	// Nothing needs a graceful end: another loader goes on from what is staged.
@@ -104,8 +101,7 @@
 }
 
 func (l *Loader) prepare() {
-	store := platform.NewStore(l.Deployment.Store.Address, l.Dial)
-	l.observer = (&observer.Observer{List: store.List, Watch: store.Watch, Regions: l.Deployment.Regions, Log: l.Log}).Open()
+	l.plans = newPlanBoard()
 	l.engine = platform.NewEngine(l.Deployment.Endpoint.Address, l.Dial)
 	l.origin = platform.NewOrigin(l.Dial)
 	l.store = weights.NewStore(chunkMemory)
@@ -118,9 +114,10 @@
 	}).Open()
 	l.fetcher = &exchange.Fetcher{
 		Self: l.self(), FanOut: fanOut, Store: l.store, Log: l.Log, Timing: exchange.SecondTiming(),
-		ThinLinkDelay: thinLinkDelay, FetchPeer: l.carrier.FetchPeer, FetchOrigin: l.fetchOrigin,
+		FetchPeer: l.carrier.FetchPeer, FetchOrigin: l.fetchOrigin,
 	}
 	l.status.changed = make(chan struct{})
+	l.sets.byGoal, l.sets.changed = map[int64]*weights.Manifest{}, make(chan struct{})
 }
 
 func (l *Loader) controlServer() (*control.Server, error) {
@@ -129,28 +126,14 @@
 	return server, errors.Wrap(err, "register the loader's service")
 }
 
-// members returns the instances whose engines hold the same model.
-func (l *Loader) members() []roster.Instance {
-	var members []roster.Instance
-	for _, endpoint := range l.observer.Fleet().Service(l.Deployment.Endpoint.Service) {
-		host, _, err := net.SplitHostPort(endpoint.Address)
-		if err != nil {
-			continue
-		}
-		members = append(members, roster.Instance{
-			Name: host, Role: roster.AgentRole, Status: roster.Live,
-			AvailabilityZone: endpoint.AvailabilityZone, Region: endpoint.Region,
-			WorkAddress: net.JoinHostPort(host, strconv.Itoa(chunkPort(l.Deployment.PeerPorts))),
-		})
-	}
-	return members
+// newObserver returns an observer of the store.
+func (l *Loader) newObserver() *observer.Observer {
+	store := platform.NewStore(l.Deployment.Store.Address, l.Dial)
+	return (&observer.Observer{List: store.List, Watch: store.Watch, Regions: l.Deployment.Regions, Log: l.Log}).Open()
 }
 
 // self describes the own instance to the layout of a burst.
 func (l *Loader) self() roster.Instance {
-	return roster.Instance{
-		Name: l.Deployment.Instance.IP, Role: roster.AgentRole, Status: roster.Live,
-		AvailabilityZone: l.Deployment.Instance.AvailabilityZone, Region: l.Deployment.Instance.Region,
-		WorkAddress: l.ownAddress(chunkPort(l.Deployment.PeerPorts)),
-	}
+	own := l.Deployment.Instance
+	return instanceOf(own.IP, own.AvailabilityZone, own.Region, l.Deployment.PeerPorts)
 }
--- /dev/null
+++ b/internal/loader/origin.go
@@ -0,0 +1,66 @@
+package loader
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mimosaward/mimosaward/internal/weights"
+)
+
+// place says where the origin keeps a chunk.
+type place struct {
+	model   string
+	version int64
+	chunk   int
+}
+
+// places holds where the origin keeps the chunks of the sets seen last. It is safe
+// for concurrent use.
+type places struct {
+	mu   sync.Mutex
+	held map[weights.Digest]place
+}
+
+// note adds the chunks of a set, and drops those for which keep is false.
+func (p *places) note(manifest *weights.Manifest, keep func(weights.Digest) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	next := make(map[weights.Digest]place, len(p.held)+len(manifest.Chunks()))
+	for chunk, held := range p.held {
+		if keep(chunk) {
+			next[chunk] = held
+		}
+	}
+	for index, chunk := range manifest.Chunks() {
+		next[chunk] = place{model: manifest.Model, version: versionOf(manifest), chunk: index}
+	}
+	p.held = next
+}
+
+func (p *places) of(chunk weights.Digest) (place, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	held, known := p.held[chunk]
+	return held, known
+}
+
+// fetchOrigin asks the origin for a chunk.
+func (l *Loader) fetchOrigin(ctx context.Context, chunk weights.Digest) ([]byte, error) {
+	plan, _ := l.plans.current()
+	if plan.Model.Origin == "" {
+		return nil, errNoOrigin
+	}
+	at, known := l.places.of(chunk)
+	if !known {
+		return nil, errors.Newf("no manifest names the chunk %s", chunk)
+	}
+	return l.origin.Chunk(ctx, plan.Model.Origin, at.model, at.version, at.chunk)
+}
+
+// homeRegion returns the region that the origin's link ends in.
+func (l *Loader) homeRegion() string {
+	plan, _ := l.plans.current()
+	return l.Deployment.Regions[plan.Model.OriginZone]
+}
--- a/internal/loader/status.go
+++ b/internal/loader/status.go
@@ -23,10 +23,11 @@
 )
 
 // StatusArgs asks for the status that follows the one with the number Known, and
-// waits up to Wait for it.
+// waits up to Wait for it. Plan holds what the loader does not know yet.
 type StatusArgs struct {
 	Known int64
 	Wait  time.Duration
+	Plan  Plan
 }
 
 // StatusReply is an engine's status. Number grows with each change of it.
@@ -35,6 +36,8 @@
 	Status engine.Status
 	// Answering is false while the engine does not answer its loader.
 	Answering bool
+	// PlanKnown says which plan the loader knows.
+	PlanKnown PlanNumbers
 }
 
 // service answers the calls of gateways.
@@ -46,7 +49,11 @@
 func (s *service) Status(args *StatusArgs, reply *StatusReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), min(args.Wait, maxStatusWait))
 	defer cancel()
+	s.loader.plans.offer(args.Plan)
+	s.loader.plans.noteHeard()
 	*reply = s.loader.status.after(ctx, args.Known)
+	plan, _ := s.loader.plans.current()
+	reply.PlanKnown = plan.Numbers()
 	return nil
 }
 
@@ -108,7 +115,7 @@
 func (l *Loader) watchEngine(ctx context.Context) {
 	answering := true
 	for ctx.Err() == nil {
-		status, err := l.engine.Status(ctx, l.layers())
+		status, err := l.engineStatus(ctx)
 		if (err == nil) != answering {
 			answering = err == nil
 			l.logEngine(err)
@@ -129,10 +136,8 @@
 	l.Log.Emit(event.EngineRegained, event.Fields{})
 }
 
-// layers returns the number of layers of the engine's model.
-func (l *Loader) layers() int {
-	if _, described, known := l.model(); known {
-		return described.Layers
-	}
-	return 0
+// engineStatus asks the engine how it is.
+func (l *Loader) engineStatus(ctx context.Context) (engine.Status, error) {
+	plan, _ := l.plans.current()
+	return l.engine.Status(ctx, plan.Model.Layers)
 }
--- /dev/null
+++ b/internal/loader/supply.go
@@ -0,0 +1,193 @@
+package loader
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mimosaward/mimosaward/internal/duty"
+	"github.com/mimosaward/mimosaward/internal/event"
+	"github.com/mimosaward/mimosaward/internal/weights"
+	"github.com/mimosaward/mimosaward/platform"
+)
+
+const (
+	// supplyInterval is how often the held chunks are compared with the goal if
+	// nothing changed.
+	supplyInterval = 500 * time.Millisecond
+	// supplyPause is the pause after a failed step.
+	supplyPause = 100 * time.Millisecond
+	// maxSets is the number of sets that are kept: the wanted one, the one served,
+	// and one that was replaced on the way.
+	maxSets = 3
+	// finishShare is the missing part of a set up to which it is fetched to its end
+	// although a newer one is wanted.
+	finishShare = 0.25
+)
+
+// supply holds the chunks of the wanted set in memory, again and again, until ctx
+// ends.
+func (l *Loader) supply(ctx context.Context) {
+	for ctx.Err() == nil {
+		_, changed := l.plans.current()
+		wanted, known := l.want()
+		switch {
+		case !known:
+			wait(ctx, changed, supplyPause)
+		case l.sets.complete(wanted.version):
+			wait(ctx, changed, supplyInterval)
+		default:
+			if err := l.supplyOnce(ctx, wanted); err != nil && ctx.Err() == nil {
+				l.Log.Emit(event.ManifestFailed, event.Fields{"model": wanted.model, "version": wanted.version, "error": err.Error()})
+				duty.Sleep(ctx, supplyPause)
+			}
+		}
+	}
+}
+
+// supplyOnce fetches the wanted set. It gives up without an error if a newer set is
+// wanted and much is missing.
+func (l *Loader) supplyOnce(ctx context.Context, wanted goal) error {
+	start := time.Now()
+	l.Log.Emit(event.RolloutStarted, event.Fields{"model": wanted.model, "version": wanted.version})
+	fetching, cancel := context.WithCancel(ctx)
+	defer cancel()
+	manifest, err := l.manifestOf(fetching, wanted)
+	if err != nil {
+		return err
+	}
+	if err := l.pin(manifest); err != nil {
+		return err
+	}
+	staged := l.takeOverStaged(fetching, manifest)
+	watch := duty.NewGroup(fetching)
+	watch.Go(func(ctx context.Context) { l.cancelWhenReplaced(ctx, wanted, manifest, cancel) })
+	plan, _ := l.plans.current()
+	l.fetcher.Home = l.homeRegion()
+	err = l.fetcher.Fetch(fetching, manifest, plan.Members.Instances)
+	replaced := fetching.Err() != nil && ctx.Err() == nil
+	watch.Stop()
+	watch.Wait()
+	if replaced {
+		l.Log.Emit(event.RolloutAbandoned, event.Fields{"model": wanted.model, "version": wanted.version, "missing": l.store.Missing(manifest)})
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	l.sets.add(wanted.version, manifest)
+	l.Log.Emit(event.SetComplete, event.Fields{
+		"model": wanted.model, "version": versionOf(manifest), "tookMs": time.Since(start).Milliseconds(), "fromEngine": staged,
+	})
+	return nil
+}
+
+// cancelWhenReplaced ends the work for a goal that a newer one replaced, unless
+// little is missing.
+func (l *Loader) cancelWhenReplaced(ctx context.Context, current goal, manifest *weights.Manifest, cancel context.CancelFunc) {
+	for ctx.Err() == nil {
+		_, changed := l.plans.current()
+		now, known := l.want()
+		if known && now != current && l.store.Missing(manifest) > int(finishShare*float64(len(manifest.Chunks()))) {
+			cancel()
+			return
+		}
+		wait(ctx, changed, time.Second)
+	}
+}
+
+// heldSets remembers which sets are held whole. It is safe for concurrent use.
+type heldSets struct {
+	mu sync.Mutex
+	// byGoal holds the sets by the version that was wanted, which may be 0.
+	byGoal map[int64]*weights.Manifest
+	// order holds the sets, the one that was pinned last at the end.
+	order   []*weights.Manifest
+	changed chan struct{}
+}
+
+func (h *heldSets) complete(version int64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.byGoal[version] != nil
+}
+
+func (h *heldSets) add(version int64, manifest *weights.Manifest) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.byGoal[version] = manifest
+	h.byGoal[versionOf(manifest)] = manifest
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// newest returns the newest set that is held whole, nil if there is none, and a
+// channel that is closed when another one is.
+func (h *heldSets) newest() (*weights.Manifest, <-chan struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var best *weights.Manifest
+	for _, manifest := range h.byGoal {
+		if best == nil || versionOf(manifest) > versionOf(best) {
+			best = manifest
+		}
+	}
+	return best, h.changed
+}
+
+// pin makes the set's chunks wanted and drops the sets that were pinned longest ago.
+func (l *Loader) pin(manifest *weights.Manifest) error {
+	l.sets.mu.Lock()
+	defer l.sets.mu.Unlock()
+	if !slices.ContainsFunc(l.sets.order, func(held *weights.Manifest) bool { return held.Digest() == manifest.Digest() }) {
+		l.sets.order = append(l.sets.order, manifest)
+	}
+	for len(l.sets.order) > maxSets {
+		l.sets.drop(l.store)
+	}
+	err := l.store.Pin(manifest)
+	for errors.Is(err, weights.ErrTooLarge) && len(l.sets.order) > 1 {
+		l.sets.drop(l.store)
+		err = l.store.Pin(manifest)
+	}
+	l.places.note(manifest, l.store.Wants)
+	return err
+}
+
+// drop forgets the set that was pinned longest ago.
+func (h *heldSets) drop(store *weights.Store) {
+	oldest := h.order[0]
+	h.order = h.order[1:]
+	store.Unpin(oldest.Digest())
+	for version, manifest := range h.byGoal {
+		if manifest == oldest {
+			delete(h.byGoal, version)
+		}
+	}
+}
+
+// takeOverStaged holds the chunks of a set that the engine has staged, so that they
+// need not be fetched, and returns how many there are.
+func (l *Loader) takeOverStaged(ctx context.Context, manifest *weights.Manifest) int {
+	taken := 0
+	for index, chunk := range manifest.Chunks() {
+		if l.store.Has(chunk) {
+			continue
+		}
+		data, err := l.engine.Staged(ctx, manifest.Model, index)
+		if errors.Is(err, platform.ErrNotHeld) {
+			continue
+		}
+		if err != nil {
+			// The engine does not answer; what it has is fetched from elsewhere.
+			return taken
+		}
+		if l.store.Put(chunk, data) == nil {
+			taken++
+		}
+	}
+	return taken
+}
--- a/internal/observer/apply.go
+++ b/internal/observer/apply.go
@@ -1,6 +1,8 @@
 package observer
 
 import (
+	"time"
+
 	"github.com/mimosaward/mimosaward/internal/event"
 	"github.com/mimosaward/mimosaward/internal/fleet"
 	"github.com/mimosaward/mimosaward/internal/informer"
@@ -32,7 +34,7 @@
 		}
 		endpoints = append(endpoints, endpoint)
 	}
-	o.fleet.SetEndpoints(endpoints)
+	o.fleet.SetEndpoints(endpoints, snapshot.Revision)
 }
 
 // layers returns the number of layers of a service's model.
@@ -71,12 +73,27 @@
 		}
 		versions[model] = version
 		if o.fleet.View().Wanted(model) < version {
+			o.noteNamed(model)
 			o.Log.Emit(event.RolloutNamed, event.Fields{"model": model, "version": version, "revision": object.Revision})
 		}
 	}
 	o.fleet.SetWanted(versions)
 }
 
+// noteNamed remembers when a new version of a model became known.
+func (o *Observer) noteNamed(model string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.named[model] = time.Now()
+}
+
+// NamedAt returns when the wanted version of a model became known, or zero.
+func (o *Observer) NamedAt(model string) time.Time {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.named[model]
+}
+
 // noteUnreadable reports an object that cannot be read, once for each change of it.
 func (o *Observer) noteUnreadable(kind string, object informer.Object, cause error) {
 	key := kind + "/" + object.Name
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -38,6 +38,8 @@
 	// unreadable holds the revisions of the objects that were reported as
 	// unreadable, so that each is reported once.
 	unreadable map[string]int64
+	// named holds when the wanted version of each model became known.
+	named map[string]time.Time
 }
 
 // Open prepares the observer.
@@ -45,6 +47,7 @@
 	o.fleet = fleet.NewHolder()
 	o.changed = make(chan struct{})
 	o.unreadable = map[string]int64{}
+	o.named = map[string]time.Time{}
 	o.Follow(platform.KindConfiguration, o.applyConfiguration)
 	o.Follow(platform.KindEndpoints, o.applyEndpoints)
 	o.Follow(platform.KindEvacuations, o.applyEvacuations)
