Bound the questions of an instance to the origin

The origin takes 48 connections and resets the others; each reset left the origin out for longer, so no set was ever complete (no load in 13 s).

An instance now asks for two chunks at a time, which still fills the origin's link.

VERSION is still broken.

--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -54,6 +54,8 @@
 	status  statusBoard
 	sets    heldSets
 	places  places
+	// originTurn is taken while the origin is asked for a chunk.
+	originTurn duty.Turn
 }
 
 // ControlPort returns the port at which loaders answer gateways.
@@ -102,6 +104,7 @@
 
 func (l *Loader) prepare() {
 	l.plans = newPlanBoard()
+	l.originTurn.Slots = originInFlight
 	l.engine = platform.NewEngine(l.Deployment.Endpoint.Address, l.Dial)
 	l.origin = platform.NewOrigin(l.Dial)
 	l.store = weights.NewStore(chunkMemory)
--- a/internal/loader/origin.go
+++ b/internal/loader/origin.go
@@ -46,6 +46,10 @@
 	return held, known
 }
 
+// originInFlight is the number of chunks that an instance asks the origin for at a
+// time. The origin takes some tens of connections, and its link is the limit.
+const originInFlight = 2
+
 // fetchOrigin asks the origin for a chunk.
 func (l *Loader) fetchOrigin(ctx context.Context, chunk weights.Digest) ([]byte, error) {
 	plan, _ := l.plans.current()
@@ -56,6 +60,10 @@
 	if !known {
 		return nil, errors.Newf("no manifest names the chunk %s", chunk)
 	}
+	if err := l.originTurn.Take(ctx); err != nil {
+		return nil, err
+	}
+	defer l.originTurn.Give()
 	return l.origin.Chunk(ctx, plan.Model.Origin, at.model, at.version, at.chunk)
 }
 
