Let gateways tell each other how they are

The directory also named gateways by their entry in the store alone, whether alive or not.

The directory names those that are alive and ready.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -15,6 +15,8 @@
 	Bounds    Bounds
 	Store     Store
 	Endpoint  Endpoint
+	// Seeds are addresses of other gateways; they may be out of date.
+	Seeds []string
 	// Regions holds the region of each availability zone.
 	Regions map[string]string
 	// FirstStart is true if the whole system starts for the first time.
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -56,6 +56,14 @@
 	RolloutNamed         = Event{2105, logrus.InfoLevel, "weights named by the operators", nothingToDo}
 )
 
+// Events between gateways.
+var (
+	GatewayAlive  = Event{2201, logrus.InfoLevel, "gateway is alive", nothingToDo}
+	GatewaySilent = Event{2202, logrus.WarnLevel, "gateway is silent", "Look at the instance; callers are no longer sent there."}
+	CopyAdopted   = Event{2203, logrus.InfoLevel, "newer copy of the store's objects taken from a gateway", "Look at the way to the store if it repeats."}
+	CopyFailed    = Event{2204, logrus.WarnLevel, "newer copy of the store's objects not received", "Look at the named gateway if it repeats."}
+)
+
 // Events of weight distribution.
 var (
 	RolloutStarted   = Event{3001, logrus.InfoLevel, "weight set wanted", nothingToDo}
@@ -92,6 +100,7 @@
 		ProcessStarted, DrainStarted, DrainEnded, DrainTimedOut, ServerFailed, InvariantBroken,
 		TicketsApplied, StoreUnreachable, StoreReachable, ParentChanged, FreshnessLost, FreshnessRegained, TicketUnreadable,
 		ConfigurationApplied, ObjectUnreadable, ZoneEvacuated, ZoneReturned, RolloutNamed,
+		GatewayAlive, GatewaySilent, CopyAdopted, CopyFailed,
 		RolloutStarted, SetComplete, ChunkCorrupt, PeerExcluded, LoadOrdered, LoadFailed, LoadDone, ManifestFailed,
 		MemoryTooSmall, SwapWaiting, RolloutAbandoned, EngineLost, EngineRegained, GatewaysSilent, GatewaysHeard,
 		EndpointCold, AnswerMismatched, StreamResumed, StreamBroken, CallUnknown, LoaderLost, LoaderRegained,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/mimosaward/mimosaward/internal/duty"
 	"github.com/mimosaward/mimosaward/internal/event"
 	"github.com/mimosaward/mimosaward/internal/observer"
+	"github.com/mimosaward/mimosaward/internal/peering"
 	"github.com/mimosaward/mimosaward/internal/retry"
 	"github.com/mimosaward/mimosaward/platform"
 )
@@ -58,19 +59,28 @@
 	retries    *retry.Budget
 	flights    flights
 	store      *platform.Store
-	gateways   gateways
+	self       peering.Member
+	table      *peering.Table
+	peering    *peering.Peering
 	control    *control.Client
+	server     *control.Server
 	engines    *engines
 	stopping   atomic.Bool
 }
 
 // Run serves until stop ends, then finishes the requests in flight.
 func (g *Gateway) Run(stop context.Context) error {
-	g.prepare()
+	controlListener, err := g.prepare()
+	if err != nil {
+		return err
+	}
 	group := duty.NewGroup(context.Background())
 	group.Go(g.observer.Run)
+	group.Go(func(ctx context.Context) { g.server.Run(ctx, controlListener) })
 	group.Go(g.register)
 	group.Go(g.followEngines)
+	group.Go(g.peering.Run)
+	group.Go(g.peering.KeepUp)
 	group.Every(leaverInterval, func(context.Context) { g.flights.cancelLeft(g.Left) })
 	group.Every(sweepInterval, func(context.Context) { g.pool.Sweep() })
 	failed := make(chan error, 3)
@@ -100,20 +110,43 @@
 	}
 }
 
-func (g *Gateway) prepare() {
+// prepare builds the parts and listens for the other gateways.
+func (g *Gateway) prepare() (net.Listener, error) {
+	own := g.Deployment.Instance
+	g.self = peering.Member{
+		Name: own.Name, AvailabilityZone: own.AvailabilityZone, Region: own.Region,
+		Callers: g.Deployment.Listen.Callers, Control: g.Deployment.Listen.Control, Incarnation: time.Now().UnixMilli(),
+	}
 	g.store = platform.NewStore(g.Deployment.Store.Address, g.DialStore)
+	g.table = &peering.Table{Self: own.Name}
 	g.observer = (&observer.Observer{List: g.store.List, Watch: g.store.Watch, Regions: g.Deployment.Regions, Log: g.Log}).Open()
-	g.observer.Follow(gatewayKind, g.gateways.apply)
+	copies := g.observer.Informers()
+	g.observer.Follow(gatewayKind, g.applyMembers)
 	g.dispatcher = &dispatch.Dispatcher{
-		Region: g.Deployment.Instance.Region, AvailabilityZone: g.Deployment.Instance.AvailabilityZone,
-		View: g.observer.Fleet, Gateways: g.gateways.count,
+		Region: own.Region, AvailabilityZone: own.AvailabilityZone, View: g.observer.Fleet,
+		Gateways: func() int { return 1 + len(g.table.Alive()) },
 	}
 	g.control = &control.Client{Dial: g.Dial}
+	g.peering = &peering.Peering{
+		Self: g.self, Table: g.table, Control: g.control, Bulk: &control.Client{Dial: g.Dial}, Log: g.Log,
+		Digest: g.digest, Copies: copies, Seeds: g.Deployment.Seeds, OnDigest: func(peering.Digest) {},
+	}
 	g.engines = &engines{
 		Control: g.control, Ports: g.Deployment.PeerPorts, Log: g.Log, Plan: g.loaderPlan, OnStatus: g.dispatcher.NoteStatus,
 	}
 	g.pool = &connection.Pool{Dial: g.Dial, Stale: g.Stale}
 	g.retries = &retry.Budget{Percent: 15}
+	g.server = control.NewServer()
+	if err := g.peering.Register(g.server); err != nil {
+		return nil, err
+	}
+	listener, err := g.Listen(g.self.Control)
+	return listener, errors.Wrap(err, "listen for other gateways")
+}
+
+// digest tells the other gateways how this one is.
+func (g *Gateway) digest() peering.Digest {
+	return peering.Digest{Ready: g.ready(), Stopping: g.stopping.Load()}
 }
 
 func newServer(handler fasthttp.RequestHandler) *fasthttp.Server {
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -77,17 +77,21 @@
 	return i.unavailableSince, i.availableSince
 }
 
-// Adopt takes over a newer copy that a peer holds, and reports whether it did.
+// Adopt takes over a newer copy that a peer holds, and reports whether that changed
+// anything.
 func (i *Informer) Adopt(copied Snapshot) bool {
 	i.mu.Lock()
-	if i.synced && copied.Revision <= i.revision {
+	if copied.Revision <= i.revision {
 		i.mu.Unlock()
 		return false
 	}
+	changed := !maps.EqualFunc(i.objects, copied.Objects, func(a, b Object) bool { return a.Revision == b.Revision })
 	i.objects, i.revision, i.synced = maps.Clone(copied.Objects), copied.Revision, true
 	i.mu.Unlock()
-	i.changed()
-	return true
+	if changed {
+		i.changed()
+	}
+	return changed
 }
 
 // Run follows the kind until ctx ends.
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -83,6 +84,9 @@
 	group.Wait()
 }
 
+// Informers returns the informers of the kinds followed so far.
+func (o *Observer) Informers() []*informer.Informer { return slices.Clone(o.informers) }
+
 // Configuration returns the configuration in force, nil before the first one.
 func (o *Observer) Configuration() *configuration.Configuration { return o.configuration.Current() }
 
--- /dev/null
+++ b/internal/peering/member.go
@@ -0,0 +1,57 @@
+package peering
+
+import "time"
+
+// Member is a gateway as it describes itself.
+type Member struct {
+	Name             string `json:"name"`
+	AvailabilityZone string `json:"availabilityZone"`
+	Region           string `json:"region"`
+	// Callers is where it takes requests, Control where other gateways call it.
+	Callers string `json:"callers"`
+	Control string `json:"control"`
+	// Incarnation tells starts of the gateway apart; it grows with each start.
+	Incarnation int64 `json:"incarnation"`
+}
+
+// Digest is what a gateway tells the others again and again.
+type Digest struct {
+	Member Member
+	// Ready is true while the gateway takes requests, Stopping once it was told to
+	// stop.
+	Ready    bool
+	Stopping bool
+	// Revisions holds the revision of its copy of each kind of objects.
+	Revisions map[string]int64
+	// Loads are its requests at each endpoint.
+	Loads []Load
+	// Demands are its requests for each service.
+	Demands []Demand
+	// Others are the gateways that it heard of lately.
+	Others []Member
+}
+
+// Load is what a gateway has at an endpoint.
+type Load struct {
+	Endpoint string
+	// Running is the number of its requests there.
+	Running int
+	// Unread is the number of their prompt tokens that were not answered yet.
+	Unread int
+}
+
+// Demand is how much a gateway asks of a service.
+type Demand struct {
+	Service string
+	// Rate is the number of requests a second.
+	Rate float64
+	// Waiting is the number of requests that wait for an endpoint.
+	Waiting int
+}
+
+// Peer is what is known about another gateway.
+type Peer struct {
+	Digest Digest
+	// Heard is when its digest came.
+	Heard time.Time
+}
