Never wait for ever for chunks when members are seen differently

Those that fetched by different lists took each other for the root of a stripe and all waited: no set was complete in 13 s, and nothing was logged.

TestInstancesThatKnowDifferentMembersDoNotWaitForever fails without the change.

--- a/internal/exchange/burst.go
+++ b/internal/exchange/burst.go
@@ -25,6 +25,8 @@
 	queues    *stripeQueues
 
 	mu sync.Mutex
+	// progress is when a chunk arrived last.
+	progress time.Time
 	// interval is a moving average of the time that a chunk takes.
 	interval time.Duration
 }
@@ -32,6 +34,7 @@
 // prepare deals the missing chunks to the stripes.
 func (b *burst) prepare() {
 	b.start = time.Now()
+	b.progress = b.start
 	b.takeOvers = newTakeOvers(b.manifest.Chunks())
 	b.queues = newStripeQueues(b.layout.Stripes())
 	for index, chunk := range b.manifest.Chunks() {
@@ -120,7 +123,7 @@
 		if b.suspects.excluded(source.Name()) {
 			continue
 		}
-		if reachable && (!impatient || source.Kind != kind) {
+		if reachable && (!impatient || source.Kind != kind) && !b.stalled() {
 			break
 		}
 		kind = source.Kind
@@ -139,6 +142,25 @@
 	return reachable
 }
 
+// stalled reports whether no chunk arrived for long. Instances of a region call it at
+// different times, so that they do not all ask the origin at once.
+func (b *burst) stalled() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	turn := b.fetcher.Timing.Stall / stallTurns * time.Duration(b.layout.Index()%stallTurns)
+	return time.Since(b.progress) > b.fetcher.Timing.Stall+turn
+}
+
+// stallTurns is the number of turns in which instances of a region find that they are
+// stalled.
+const stallTurns = 8
+
+func (b *burst) noteProgress() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.progress = time.Now()
+}
+
 // takesOver reports whether the source is the root for the chunk because every
 // instance before it in the succession is excluded.
 func (b *burst) takesOver(sources []swarm.Source, source swarm.Source) bool {
@@ -180,6 +202,7 @@
 		b.chargeCorrupt(source, digest)
 		return err
 	}
+	b.noteProgress()
 	b.suspects.worked(source.Name())
 	return err
 }
--- a/internal/exchange/timing.go
+++ b/internal/exchange/timing.go
@@ -22,6 +22,10 @@
 	// UnwantedGrace is how long after the start of a burst an instance that does not
 	// want the set yet counts as one that will.
 	UnwantedGrace time.Duration
+	// Stall is how long no chunk may arrive until sources of every kind are asked,
+	// the origin too: instances that know different members may all wait for each
+	// other.
+	Stall time.Duration
 	// FirstExclusion is how long a source is left out after its first failure; each
 	// further one doubles it, up to MaxExclusion.
 	FirstExclusion time.Duration
@@ -33,7 +37,7 @@
 	return Timing{
 		Hold: 2 * time.Second, FirstPatience: 20 * time.Second, MinPatience: 3 * time.Second,
 		RetryPause: 200 * time.Millisecond, AssistInterval: 500 * time.Millisecond, OrphanPause: 300 * time.Millisecond,
-		UnwantedGrace: 10 * time.Second, FirstExclusion: 2 * time.Second, MaxExclusion: 15 * time.Second,
+		UnwantedGrace: 10 * time.Second, Stall: time.Minute, FirstExclusion: 2 * time.Second, MaxExclusion: 15 * time.Second,
 	}
 }
 
@@ -42,6 +46,6 @@
 	return Timing{
 		Hold: 500 * time.Millisecond, FirstPatience: time.Second, MinPatience: 400 * time.Millisecond,
 		RetryPause: 50 * time.Millisecond, AssistInterval: 100 * time.Millisecond, OrphanPause: 60 * time.Millisecond,
-		UnwantedGrace: 3 * time.Second, FirstExclusion: 500 * time.Millisecond, MaxExclusion: 4 * time.Second,
+		UnwantedGrace: 3 * time.Second, Stall: time.Second, FirstExclusion: 500 * time.Millisecond, MaxExclusion: 4 * time.Second,
 	}
 }
--- a/internal/loader/manifest.go
+++ b/internal/loader/manifest.go
@@ -10,6 +10,7 @@
 	"github.com/mimosaward/mimosaward/internal/carrier"
 	"github.com/mimosaward/mimosaward/internal/duty"
 	"github.com/mimosaward/mimosaward/internal/engine"
+	"github.com/mimosaward/mimosaward/internal/event"
 	"github.com/mimosaward/mimosaward/internal/weights"
 )
 
@@ -20,6 +21,8 @@
 	// manifestPause is the pause between two tries, about the time in which the
 	// instance above gets it.
 	manifestPause = 50 * time.Millisecond
+	// manifestLogEvery is the number of failed tries that share a log line.
+	manifestLogEvery = 10
 )
 
 // manifestKey names a manifest among instances.
@@ -36,6 +39,9 @@
 			return manifest, nil
 		}
 		last = err
+		if try%manifestLogEvery == manifestLogEvery-1 {
+			l.Log.Emit(event.ManifestFailed, event.Fields{"model": wanted.model, "version": wanted.version, "tries": try + 1, "error": err.Error()})
+		}
 		duty.Sleep(ctx, manifestPause)
 	}
 	return nil, errors.CombineErrors(ctx.Err(), last)
--- a/internal/loader/supply.go
+++ b/internal/loader/supply.go
@@ -10,6 +10,7 @@
 
 	"github.com/mimosaward/mimosaward/internal/duty"
 	"github.com/mimosaward/mimosaward/internal/event"
+	"github.com/mimosaward/mimosaward/internal/roster"
 	"github.com/mimosaward/mimosaward/internal/weights"
 	"github.com/mimosaward/mimosaward/platform"
 )
@@ -65,9 +66,7 @@
 	staged := l.takeOverStaged(fetching, manifest)
 	watch := duty.NewGroup(fetching)
 	watch.Go(func(ctx context.Context) { l.cancelWhenReplaced(ctx, wanted, manifest, cancel) })
-	plan, _ := l.plans.current()
-	l.fetcher.Home = l.homeRegion()
-	err = l.fetcher.Fetch(fetching, manifest, plan.Members.Instances)
+	err = l.fetch(fetching, manifest)
 	replaced := fetching.Err() != nil && ctx.Err() == nil
 	watch.Stop()
 	watch.Wait()
@@ -85,6 +84,42 @@
 	return nil
 }
 
+// fetch gets the missing chunks of a set. It begins anew when the members change, since
+// instances that know different members may wait for each other.
+func (l *Loader) fetch(ctx context.Context, manifest *weights.Manifest) error {
+	for {
+		plan, _ := l.plans.current()
+		attempt, cancel := context.WithCancel(ctx)
+		watch := duty.NewGroup(attempt)
+		watch.Go(func(ctx context.Context) { l.cancelWhenMembersChange(ctx, plan.Members, cancel) })
+		l.fetcher.Home = l.homeRegion()
+		err := l.fetcher.Fetch(attempt, manifest, plan.Members.Instances)
+		watch.Stop()
+		watch.Wait()
+		cancel()
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+	}
+}
+
+// cancelWhenMembersChange calls cancel once the members are others than the given
+// ones.
+func (l *Loader) cancelWhenMembersChange(ctx context.Context, from MembersPart, cancel context.CancelFunc) {
+	for ctx.Err() == nil {
+		plan, changed := l.plans.current()
+		if !sameMembers(from, plan.Members) {
+			cancel()
+			return
+		}
+		wait(ctx, changed, time.Second)
+	}
+}
+
+func sameMembers(a, b MembersPart) bool {
+	return slices.EqualFunc(a.Instances, b.Instances, func(x, y roster.Instance) bool { return x.Name == y.Name })
+}
+
 // cancelWhenReplaced ends the work for a goal that a newer one replaced, unless
 // little is missing.
 func (l *Loader) cancelWhenReplaced(ctx context.Context, current goal, manifest *weights.Manifest, cancel context.CancelFunc) {
