Count each instance once among the members, and let them settle

Cause: after a restart an engine has two entries in the store for a while, so its instance stood twice among the members and loaders derived different layouts; each change of an entry also began the fetch anew.

--- a/internal/loader/observe.go
+++ b/internal/loader/observe.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/mimosaward/mimosaward/internal/configuration"
@@ -45,7 +47,8 @@
 	return plan, true
 }
 
-// members returns the instances of endpoints that hold the same model.
+// members returns the instances of endpoints that hold the same model, ordered by
+// address. An engine that restarted under a new ID may have two entries for a while.
 func members(endpoints []fleet.Endpoint, ports deployment.Ports) []roster.Instance {
 	list := make([]roster.Instance, 0, len(endpoints))
 	for _, endpoint := range endpoints {
@@ -56,7 +59,9 @@
 		}
 		list = append(list, instanceOf(host, endpoint.AvailabilityZone, endpoint.Region, ports))
 	}
-	return list
+	byName := func(a, b roster.Instance) int { return strings.Compare(a.Name, b.Name) }
+	slices.SortFunc(list, byName)
+	return slices.CompactFunc(list, func(a, b roster.Instance) bool { return a.Name == b.Name })
 }
 
 // instanceOf describes the instance with an IP address to the layout of a burst.
--- a/internal/loader/supply.go
+++ b/internal/loader/supply.go
@@ -104,18 +104,25 @@
 }
 
 // cancelWhenMembersChange calls cancel once the members are others than the given
-// ones.
+// ones, and have been for a while: to begin anew costs what is under way.
 func (l *Loader) cancelWhenMembersChange(ctx context.Context, from MembersPart, cancel context.CancelFunc) {
 	for ctx.Err() == nil {
-		plan, changed := l.plans.current()
-		if !sameMembers(from, plan.Members) {
+		before, changed := l.plans.current()
+		if sameMembers(from, before.Members) {
+			wait(ctx, changed, time.Second)
+			continue
+		}
+		duty.Sleep(ctx, membersSettle)
+		if after, _ := l.plans.current(); sameMembers(before.Members, after.Members) {
 			cancel()
 			return
 		}
-		wait(ctx, changed, time.Second)
 	}
 }
 
+// membersSettle is how long the members must stay the same until a fetch begins anew.
+const membersSettle = 600 * time.Millisecond
+
 func sameMembers(a, b MembersPart) bool {
 	return slices.EqualFunc(a.Instances, b.Instances, func(x, y roster.Instance) bool { return x.Name == y.Name })
 }
