Let chunks for other regions go before those of the own region

Cause: an instance's uplink carries a chunk to seven neighbours and one other region. With all transfers sharing it, the other regions got each chunk last and began their own spread late.

A whole chunk for another region is paced like a slice now, ahead of chunks.

--- /dev/null
+++ b/internal/bench/smallburst_test.go
@@ -0,0 +1,185 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mimosaward/mimosaward/internal/duty"
+	"github.com/mimosaward/mimosaward/internal/event"
+	"github.com/mimosaward/mimosaward/internal/exchange"
+	"github.com/mimosaward/mimosaward/internal/pace"
+	"github.com/mimosaward/mimosaward/internal/roster"
+	"github.com/mimosaward/mimosaward/internal/size"
+	"github.com/mimosaward/mimosaward/internal/standin"
+	"github.com/mimosaward/mimosaward/internal/weights"
+)
+
+// A small set on thin links: 96 chunks of 24 KiB, links of 7.3 Mbit/s for instances
+// and the origin, 20 Mbit/s between regions.
+const (
+	smallChunks     = 96
+	smallChunkBytes = 24 << 10
+	smallLinkRate   = 7.3e6 / 8
+	smallThinRate   = 20e6 / 8
+	// smallWindow is the time in which requests must no longer begin on replaced
+	// weights.
+	smallWindow = 8 * time.Second
+)
+
+// smallBurst spreads a small set over the real exchange and fake links.
+type smallBurst struct {
+	manifest *weights.Manifest
+	content  map[weights.Digest][]byte
+	origin   *standin.Link
+	// originTurns bounds the chunks that each instance asks the origin for.
+	thin  map[[2]string]*standin.Link
+	nodes map[string]*smallNode
+}
+
+type smallNode struct {
+	fetcher  *exchange.Fetcher
+	up       *standin.Link
+	down     *standin.Link
+	paceUp   *pace.Link
+	paceDown *pace.Link
+	origin   duty.Turn
+	done     time.Duration
+}
+
+func newSmallBurst(t *testing.T, perRegion []int) (*smallBurst, []roster.Instance) {
+	t.Helper()
+	b := &smallBurst{
+		content: map[weights.Digest][]byte{}, origin: &standin.Link{Rate: smallLinkRate, Latency: time.Millisecond},
+		thin: map[[2]string]*standin.Link{}, nodes: map[string]*smallNode{},
+	}
+	var digests []weights.Digest
+	for index := range smallChunks {
+		data := make([]byte, smallChunkBytes)
+		copy(data, fmt.Sprintf("chunk %d", index))
+		digests = append(digests, weights.Sum(data))
+		b.content[weights.Sum(data)] = data
+	}
+	manifest, _, err := weights.NewManifest("draft", "2", smallChunkBytes, digests)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.manifest = manifest
+	var members []roster.Instance
+	for region, count := range perRegion {
+		for index := range count {
+			name := fmt.Sprintf("region-%d", region)
+			members = append(members, roster.Instance{Name: fmt.Sprintf("10.%d.0.%d", region, index), Region: name})
+		}
+		for other := range perRegion {
+			b.thin[[2]string{fmt.Sprintf("region-%d", region), fmt.Sprintf("region-%d", other)}] = &standin.Link{Rate: smallThinRate, Latency: 2 * time.Millisecond}
+		}
+	}
+	for _, member := range members {
+		b.nodes[member.Name] = b.newNode(t, member)
+	}
+	return b, members
+}
+
+func (b *smallBurst) newNode(t *testing.T, self roster.Instance) *smallNode {
+	t.Helper()
+	store := weights.NewStore(size.GiB)
+	if err := store.Pin(b.manifest); err != nil {
+		t.Fatal(err)
+	}
+	node := &smallNode{
+		up: &standin.Link{Rate: smallLinkRate}, down: &standin.Link{Rate: smallLinkRate},
+		paceUp: &pace.Link{Rate: smallLinkRate}, paceDown: &pace.Link{Rate: smallLinkRate},
+		origin: duty.Turn{Slots: 2},
+	}
+	node.fetcher = &exchange.Fetcher{
+		Self: self, Home: "region-0", FanOut: 8, Store: store, Log: event.Discard(), Timing: exchange.SecondTiming(),
+		FetchPeer: func(ctx context.Context, peer roster.Instance, request exchange.Request) (exchange.Answer, error) {
+			return b.fetchPeer(ctx, node, self, peer, request)
+		},
+		FetchOrigin: func(ctx context.Context, chunk weights.Digest) ([]byte, error) {
+			if err := node.origin.Take(ctx); err != nil {
+				return nil, err
+			}
+			defer node.origin.Give()
+			standin.SendChunk(ctx, b.origin, node.down, smallChunkBytes)
+			return b.content[chunk], ctx.Err()
+		},
+	}
+	return node
+}
+
+func (b *smallBurst) fetchPeer(ctx context.Context, client *smallNode, self, peer roster.Instance, request exchange.Request) (exchange.Answer, error) {
+	server := b.nodes[peer.Name]
+	duty.Sleep(ctx, time.Millisecond)
+	answer, err := server.fetcher.Serve(ctx, request)
+	if err != nil {
+		return exchange.Answer{}, err
+	}
+	defer answer.Sent()
+	if request.Length > 0 {
+		_ = client.paceDown.WaitSlice(ctx, len(answer.Data))
+		_ = server.paceUp.WaitSlice(ctx, len(answer.Data))
+		standin.SendSlice(ctx, server.up, b.thin[[2]string{peer.Region, self.Region}], client.down, len(answer.Data))
+		return answer, ctx.Err()
+	}
+	for left := len(answer.Data); left > 0 && ctx.Err() == nil; left -= pace.PieceBytes {
+		piece := min(pace.PieceBytes, left)
+		_ = client.paceDown.WaitChunk(ctx, piece)
+		_ = server.paceUp.WaitChunk(ctx, piece)
+		if peer.Region != self.Region {
+			_, end := b.thin[[2]string{peer.Region, self.Region}].Reserve(piece)
+			duty.Sleep(ctx, time.Until(end))
+		}
+		standin.SendChunk(ctx, server.up, client.down, piece)
+	}
+	return answer, ctx.Err()
+}
+
+// run returns when the last instance holds the set, and the copies that the origin
+// sent.
+func (b *smallBurst) run(ctx context.Context, members []roster.Instance) (last time.Duration, copies float64) {
+	ctx, cancel := context.WithTimeout(ctx, 4*smallWindow)
+	defer cancel()
+	start := time.Now()
+	group := duty.NewGroup(ctx)
+	for _, member := range members {
+		node := b.nodes[member.Name]
+		group.Go(func(ctx context.Context) {
+			if node.fetcher.Fetch(ctx, b.manifest, members) == nil {
+				node.done = time.Since(start)
+			}
+		})
+	}
+	group.Wait()
+	for _, node := range b.nodes {
+		last = max(last, node.done)
+		if node.done == 0 {
+			last = 4 * smallWindow
+		}
+	}
+	return last, float64(b.origin.Bytes()) / float64(b.manifest.Bytes())
+}
+
+// Engines must have time to take turns after the last instance holds the set: half of
+// the window is left for that.
+func TestSmallSetIsEverywhereWithinHalfTheWindow(t *testing.T) {
+	for _, perRegion := range [][]int{{4, 4, 4}, {8, 6, 6}, {7, 7, 5}, {15, 15, 15}, {10, 10, 10, 10}} {
+		t.Run(fmt.Sprint(perRegion), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { requireSmallBurst(t, perRegion) })
+		})
+	}
+}
+
+func requireSmallBurst(t *testing.T, perRegion []int) {
+	b, members := newSmallBurst(t, perRegion)
+	last, copies := b.run(t.Context(), members)
+	if last > smallWindow/2 {
+		t.Errorf("the last instance holds the set after %s, want at most %s", last, smallWindow/2)
+	}
+	if copies > 1.2 {
+		t.Errorf("the origin sent %.2f copies, want about one", copies)
+	}
+}
--- a/internal/exchange/burst.go
+++ b/internal/exchange/burst.go
@@ -241,6 +241,7 @@
 	}
 	defer turn.Give()
 	request.Hold = 0
+	request.Length = b.manifest.ChunkBytes
 	return b.fetchWhole(ctx, source, request)
 }
 
