Let new engines get weights from engines that serve them

Cause: the roots of a set's stripes asked the origin although twelve engines served the version already: half a copy too much for each scale-out, over the thinnest link. A loader also learned of its plan only after its engine's first heartbeat.

If engines of a region serve the wanted version, their instances stand in for the origin and the others spread it among each other. A loader without a plan asks the gateways that its settings name.

--- a/cmd/mimosaward-loader/main.go
+++ b/cmd/mimosaward-loader/main.go
@@ -15,7 +15,9 @@
 func main() {
 	program := &command.Hosted{
 		Run: func(ctx context.Context, where deployment.Deployment, log *event.Logger) error {
-			running := &loader.Loader{Deployment: where, Log: log, Listen: sockets.Listen, Dial: sockets.DialSoon}
+			running := &loader.Loader{
+				Deployment: where, Log: log, Listen: sockets.Listen, Dial: sockets.DialSoon, DialControl: sockets.Dial,
+			}
 			return running.Run(ctx)
 		},
 	}
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -144,3 +144,14 @@
 	}
 	return loader.NewPlan(current, g.observer.Fleet(), service, g.Deployment.PeerPorts, g.observer.NamedAt)
 }
+
+// plans answers loaders that do not know their plan yet.
+type plans struct {
+	gateway *Gateway
+}
+
+// Plan returns the plan of a service's loaders.
+func (p *plans) Plan(args *loader.PlanArgs, reply *loader.PlanReply) error {
+	reply.Plan, reply.Known = p.gateway.loaderPlan(args.Service)
+	return nil
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/mimosaward/mimosaward/internal/dispatch"
 	"github.com/mimosaward/mimosaward/internal/duty"
 	"github.com/mimosaward/mimosaward/internal/event"
+	"github.com/mimosaward/mimosaward/internal/loader"
 	"github.com/mimosaward/mimosaward/internal/observer"
 	"github.com/mimosaward/mimosaward/internal/peering"
 	"github.com/mimosaward/mimosaward/internal/retry"
@@ -141,6 +142,9 @@
 	if err := g.peering.Register(g.server); err != nil {
 		return nil, err
 	}
+	if err := g.server.Register(loader.PlanService, &plans{gateway: g}); err != nil {
+		return nil, errors.Wrap(err, "register the questions of loaders")
+	}
 	listener, err := g.Listen(g.self.Control)
 	return listener, errors.Wrap(err, "listen for other gateways")
 }
--- a/internal/loader/load.go
+++ b/internal/loader/load.go
@@ -63,7 +63,7 @@
 	plan, _ := l.plans.current()
 	rank := 0
 	for _, member := range plan.Members.Instances {
-		if member.Name < l.Deployment.Instance.IP {
+		if member.Instance.Name < l.Deployment.Instance.IP {
 			rank++
 		}
 	}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -42,18 +43,22 @@
 	Deployment deployment.Deployment
 	Log        *event.Logger
 	Listen     func(address string) (net.Listener, error)
-	// Dial connects to another process.
-	Dial func(address string) (net.Conn, error)
+	// Dial connects to another process, DialControl to a gateway.
+	Dial        func(address string) (net.Conn, error)
+	DialControl func(ctx context.Context, address string) (net.Conn, error)
 
 	engine  *platform.Engine
 	origin  *platform.Origin
 	store   *weights.Store
 	fetcher *exchange.Fetcher
 	carrier *carrier.Carrier
+	control *control.Client
 	plans   *planBoard
 	status  statusBoard
 	sets    heldSets
 	places  places
+	// holders are the instances whose engines serve the set that is fetched.
+	holders atomic.Pointer[[]roster.Instance]
 	// originTurn is taken while the origin is asked for a chunk.
 	originTurn duty.Turn
 }
@@ -67,7 +72,7 @@
 // Run serves until stop ends.
 func (l *Loader) Run(stop context.Context) error {
 	l.prepare()
-	control, err := l.controlServer()
+	server, err := l.controlServer()
 	if err != nil {
 		return err
 	}
@@ -81,11 +86,12 @@
 	}
 	app := fiber.New()
 	l.carrier.Routes(app)
-	server := &fasthttp.Server{Handler: app.Handler(), NoDefaultServerHeader: true, IdleTimeout: peerIdle}
+	chunkServer := &fasthttp.Server{Handler: app.Handler(), NoDefaultServerHeader: true, IdleTimeout: peerIdle}
 	group := duty.NewGroup(stop)
+	group.Go(l.askSeeds)
 	group.Go(l.observeUnheard)
-	group.Go(func(ctx context.Context) { control.Run(ctx, controlListener) })
-	group.Go(func(context.Context) { _ = server.Serve(chunkListener) })
+	group.Go(func(ctx context.Context) { server.Run(ctx, controlListener) })
+	group.Go(func(context.Context) { _ = chunkServer.Serve(chunkListener) })
 	group.Go(l.watchEngine)
 	group.Go(l.supply)
 	group.Go(l.keepLoaded)
@@ -104,7 +110,9 @@
 
 func (l *Loader) prepare() {
 	l.plans = newPlanBoard()
+	l.control = &control.Client{Dial: l.DialControl}
 	l.originTurn.Slots = originInFlight
+	l.holders.Store(&[]roster.Instance{})
 	l.engine = platform.NewEngine(l.Deployment.Endpoint.Address, l.Dial)
 	l.origin = platform.NewOrigin(l.Dial)
 	l.store = weights.NewStore(chunkMemory)
@@ -117,7 +125,7 @@
 	}).Open()
 	l.fetcher = &exchange.Fetcher{
 		Self: l.self(), FanOut: fanOut, Store: l.store, Log: l.Log, Timing: exchange.SecondTiming(),
-		FetchPeer: l.carrier.FetchPeer, FetchOrigin: l.fetchOrigin,
+		FetchPeer: l.carrier.FetchPeer, FetchOrigin: l.fetchUpstream,
 	}
 	l.status.changed = make(chan struct{})
 	l.sets.byGoal, l.sets.changed = map[int64]*weights.Manifest{}, make(chan struct{})
--- a/internal/loader/manifest.go
+++ b/internal/loader/manifest.go
@@ -52,7 +52,7 @@
 func (l *Loader) readManifest(ctx context.Context, wanted goal, try int) (*weights.Manifest, error) {
 	key := manifestKey(wanted)
 	plan, _ := l.plans.current()
-	parent, hasParent := carrier.Parent(key, l.self().Name, plan.Members.Instances)
+	parent, hasParent := carrier.Parent(key, l.self().Name, instances(plan.Members.Instances, everyMember))
 	if hasParent && try < manifestPeerTries {
 		text, err := l.carrier.FetchManifest(ctx, key, parent)
 		if err != nil {
--- a/internal/loader/observe.go
+++ b/internal/loader/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"slices"
 	"strconv"
@@ -36,7 +37,7 @@
 		Model: ModelPart{
 			Version: current.Version(), Model: model, Layers: described.Engine.Layers, Chunks: described.Engine.Chunks,
 		},
-		Members: MembersPart{Revision: view.Revision(), Instances: members(view.Service(service), ports)},
+		Members: MembersPart{Revision: view.Revision(), Instances: members(view.Service(service), model, ports)},
 	}
 	if origin, found := current.Origin(); found {
 		plan.Model.Origin, plan.Model.OriginZone = origin.Address, origin.AvailabilityZone
@@ -47,21 +48,23 @@
 	return plan, true
 }
 
-// members returns the instances of endpoints that hold the same model, ordered by
-// address. An engine that restarted under a new ID may have two entries for a while.
-func members(endpoints []fleet.Endpoint, ports deployment.Ports) []roster.Instance {
-	list := make([]roster.Instance, 0, len(endpoints))
+// members returns the instances of endpoints of a model, ordered by address. An engine
+// that restarted under a new ID may have two entries for a while.
+func members(endpoints []fleet.Endpoint, model string, ports deployment.Ports) []Member {
+	byHost := make(map[string]Member, len(endpoints))
+	newest := make(map[string]int64, len(endpoints))
 	for _, endpoint := range endpoints {
 		host, _, err := net.SplitHostPort(endpoint.Address)
-		if err != nil {
+		if _, known := byHost[host]; err != nil || (known && newest[host] > endpoint.Incarnation) {
 			// An entry without an address is no member; the decoder has reported it.
 			continue
 		}
-		list = append(list, instanceOf(host, endpoint.AvailabilityZone, endpoint.Region, ports))
+		newest[host] = endpoint.Incarnation
+		byHost[host] = Member{
+			Instance: instanceOf(host, endpoint.AvailabilityZone, endpoint.Region, ports), Version: endpoint.Version(model),
+		}
 	}
-	byName := func(a, b roster.Instance) int { return strings.Compare(a.Name, b.Name) }
-	slices.SortFunc(list, byName)
-	return slices.CompactFunc(list, func(a, b roster.Instance) bool { return a.Name == b.Name })
+	return slices.SortedFunc(maps.Values(byHost), func(a, b Member) int { return strings.Compare(a.Instance.Name, b.Instance.Name) })
 }
 
 // instanceOf describes the instance with an IP address to the layout of a burst.
@@ -72,6 +75,37 @@
 	}
 }
 
+// askSeeds asks the gateways that are known from the start for the plan, until it is
+// known: a new engine's entry reaches the gateways only after a heartbeat.
+func (l *Loader) askSeeds(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, seed := range l.Deployment.Seeds {
+			if plan, _ := l.plans.current(); plan.Model.Version > 0 {
+				return
+			}
+			l.askSeed(ctx, seed)
+		}
+		duty.Sleep(ctx, seedPause)
+	}
+}
+
+const (
+	seedPause   = 200 * time.Millisecond
+	seedTimeout = 500 * time.Millisecond
+)
+
+// askSeed asks one gateway. A failure shows only in that the plan stays unknown; then
+// the store is read.
+func (l *Loader) askSeed(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, seedTimeout)
+	defer cancel()
+	var reply PlanReply
+	err := l.control.Call(ctx, address, PlanMethod, &PlanArgs{Service: l.Deployment.Endpoint.Service}, &reply)
+	if err == nil && reply.Known {
+		l.plans.offer(reply.Plan)
+	}
+}
+
 // observeUnheard reads the store while no gateway calls. Usually gateways tell a
 // loader what it needs, so that the store's calls do not grow with the engines.
 func (l *Loader) observeUnheard(ctx context.Context) {
--- a/internal/loader/origin.go
+++ b/internal/loader/origin.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mimosaward/mimosaward/internal/exchange"
+	"github.com/mimosaward/mimosaward/internal/roster"
 	"github.com/mimosaward/mimosaward/internal/weights"
 )
 
@@ -50,6 +54,49 @@
 // time. The origin takes some tens of connections, and its link is the limit.
 const originInFlight = 2
 
+// arrange decides where the instances get a set from, and returns those that spread it
+// among each other. If engines of the own region serve it already, their instances
+// stand in for the origin, and only the others take part.
+func (l *Loader) arrange(plan Plan, version int64) []roster.Instance {
+	holders := instances(plan.Members.Instances, func(member Member) bool {
+		return member.Version == version && member.Instance.Name != l.Deployment.Instance.IP
+	})
+	near := slices.ContainsFunc(holders, func(holder roster.Instance) bool { return holder.Region == l.Deployment.Instance.Region })
+	l.holders.Store(&holders)
+	if !near {
+		l.fetcher.Home = l.homeRegion()
+		return instances(plan.Members.Instances, everyMember)
+	}
+	l.fetcher.Home = l.Deployment.Instance.Region
+	return instances(plan.Members.Instances, func(member Member) bool { return member.Version != version })
+}
+
+// fetchUpstream asks an instance whose engine serves the set for a chunk, if there is
+// one in the region, otherwise the origin.
+func (l *Loader) fetchUpstream(ctx context.Context, chunk weights.Digest) ([]byte, error) {
+	var near []roster.Instance
+	for _, holder := range *l.holders.Load() {
+		if holder.Region == l.Deployment.Instance.Region {
+			near = append(near, holder)
+		}
+	}
+	for _, holder := range roster.Top(chunk.String(), near, holderTries) {
+		answer, err := l.carrier.FetchPeer(ctx, holder, exchange.Request{Chunk: chunk, Hold: holderHold})
+		if err == nil {
+			return answer.Data, nil
+		}
+	}
+	return l.fetchOrigin(ctx, chunk)
+}
+
+const (
+	// holderTries is the number of instances that are asked for a chunk before the
+	// origin is.
+	holderTries = 2
+	// holderHold is how long an instance may wait for a chunk that it should have.
+	holderHold = 50 * time.Millisecond
+)
+
 // fetchOrigin asks the origin for a chunk.
 func (l *Loader) fetchOrigin(ctx context.Context, chunk weights.Digest) ([]byte, error) {
 	plan, _ := l.plans.current()
--- a/internal/loader/plan.go
+++ b/internal/loader/plan.go
@@ -38,9 +38,28 @@
 // MembersPart are the instances at a revision of the store.
 type MembersPart struct {
 	Revision  int64
-	Instances []roster.Instance
+	Instances []Member
 }
 
+// Member is an instance and the version that its engine serves, 0 if none.
+type Member struct {
+	Instance roster.Instance
+	Version  int64
+}
+
+// instances returns the instances of the members for which keep is true.
+func instances(members []Member, keep func(Member) bool) []roster.Instance {
+	var list []roster.Instance
+	for _, member := range members {
+		if keep(member) {
+			list = append(list, member.Instance)
+		}
+	}
+	return list
+}
+
+func everyMember(Member) bool { return true }
+
 // PlanNumbers says which parts of a plan are known.
 type PlanNumbers struct {
 	Model   int64
--- a/internal/loader/status.go
+++ b/internal/loader/status.go
@@ -22,6 +22,23 @@
 	maxStatusWait = time.Second
 )
 
+// The call that asks a gateway for the plan of a service's loaders.
+const (
+	PlanService = "Plans"
+	PlanMethod  = PlanService + ".Plan"
+)
+
+// PlanArgs names the service.
+type PlanArgs struct {
+	Service string
+}
+
+// PlanReply is the plan, if the gateway knows it.
+type PlanReply struct {
+	Known bool
+	Plan  Plan
+}
+
 // StatusArgs asks for the status that follows the one with the number Known, and
 // waits up to Wait for it. Plan holds what the loader does not know yet.
 type StatusArgs struct {
--- a/internal/loader/supply.go
+++ b/internal/loader/supply.go
@@ -10,7 +10,6 @@
 
 	"github.com/mimosaward/mimosaward/internal/duty"
 	"github.com/mimosaward/mimosaward/internal/event"
-	"github.com/mimosaward/mimosaward/internal/roster"
 	"github.com/mimosaward/mimosaward/internal/weights"
 	"github.com/mimosaward/mimosaward/platform"
 )
@@ -92,8 +91,7 @@
 		attempt, cancel := context.WithCancel(ctx)
 		watch := duty.NewGroup(attempt)
 		watch.Go(func(ctx context.Context) { l.cancelWhenMembersChange(ctx, plan.Members, cancel) })
-		l.fetcher.Home = l.homeRegion()
-		err := l.fetcher.Fetch(attempt, manifest, plan.Members.Instances)
+		err := l.fetcher.Fetch(attempt, manifest, l.arrange(plan, versionOf(manifest)))
 		watch.Stop()
 		watch.Wait()
 		cancel()
@@ -124,7 +122,7 @@
 const membersSettle = 600 * time.Millisecond
 
 func sameMembers(a, b MembersPart) bool {
-	return slices.EqualFunc(a.Instances, b.Instances, func(x, y roster.Instance) bool { return x.Name == y.Name })
+	return slices.EqualFunc(a.Instances, b.Instances, func(x, y Member) bool { return x.Instance.Name == y.Instance.Name })
 }
 
 // cancelWhenReplaced ends the work for a goal that a newer one replaced, unless
