Ask every source for a chunk that is overdue; book links for what is left

Causes: a fetch that began anew with each added engine threw away what was under way (up to 24 chunks, 0.6 s of a link). Without that, two loaders that knew different members waited for each other for 10 s, since progress with other chunks hid it. A client booked its link for two whole pieces of 16 KiB for each chunk of 24 KiB, a quarter too much.

A chunk that is overdue is asked of sources of every kind, by the instances of a region one after the other.

--- a/internal/exchange/burst.go
+++ b/internal/exchange/burst.go
@@ -25,8 +25,6 @@
 	queues    *stripeQueues
 
 	mu sync.Mutex
-	// progress is when a chunk arrived last.
-	progress time.Time
 	// interval is a moving average of the time that a chunk takes.
 	interval time.Duration
 }
@@ -34,7 +32,6 @@
 // prepare deals the missing chunks to the stripes.
 func (b *burst) prepare() {
 	b.start = time.Now()
-	b.progress = b.start
 	b.takeOvers = newTakeOvers(b.manifest.Chunks())
 	b.queues = newStripeQueues(b.layout.Stripes())
 	for index, chunk := range b.manifest.Chunks() {
@@ -80,7 +77,7 @@
 		// An orphan cannot know which of the others gets the chunk first.
 		orphan := b.suspects.excluded(sources[0].Name())
 		impatient := assisting || orphan || time.Since(start) > b.patience()
-		reachable := b.tryRound(ctx, sources, index, impatient)
+		reachable := b.tryRound(ctx, sources, index, eagerness{impatient: impatient, desperate: time.Since(start) > b.despair()})
 		switch {
 		case orphan:
 			duty.Sleep(ctx, b.fetcher.Timing.OrphanPause)
@@ -112,18 +109,25 @@
 	b.interval += (taken - b.interval) / intervalWeight
 }
 
-// tryRound asks the preferred source that is not excluded and, if impatient,
-// each of the others of its kind. It turns to sources of a farther kind only
-// when every source of the nearer kind is excluded or unreachable. It reports
-// whether any source was reachable.
-func (b *burst) tryRound(ctx context.Context, sources []swarm.Source, index int, impatient bool) bool {
+// eagerness says which sources are asked besides the preferred one: if impatient the
+// others of its kind, if desperate those of every kind.
+type eagerness struct {
+	impatient bool
+	desperate bool
+}
+
+// tryRound asks the preferred source that is not excluded, and others if eager. It
+// turns to sources of a farther kind only when every source of the nearer kind is
+// excluded or unreachable, or if desperate. It reports whether any source was
+// reachable.
+func (b *burst) tryRound(ctx context.Context, sources []swarm.Source, index int, eager eagerness) bool {
 	reachable := false
 	kind := swarm.Peer
 	for place, source := range sources {
 		if b.suspects.excluded(source.Name()) {
 			continue
 		}
-		if reachable && (!impatient || source.Kind != kind) && !b.stalled() {
+		if reachable && !eager.desperate && (!eager.impatient || source.Kind != kind) {
 			break
 		}
 		kind = source.Kind
@@ -142,24 +146,16 @@
 	return reachable
 }
 
-// stalled reports whether no chunk arrived for long. Instances of a region call it at
-// different times, so that they do not all ask the origin at once.
-func (b *burst) stalled() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	turn := b.fetcher.Timing.Stall / stallTurns * time.Duration(b.layout.Index()%stallTurns)
-	return time.Since(b.progress) > b.fetcher.Timing.Stall+turn
+// despair returns how long a worker waits for a chunk until it asks sources of every
+// kind: instances that know different members may wait for each other. The instances
+// of a region do so one after the other, so that the origin is not asked by all.
+func (b *burst) despair() time.Duration {
+	return b.fetcher.Timing.Despair * time.Duration(despairSteps+b.layout.Index()) / despairSteps
 }
 
-// stallTurns is the number of turns in which instances of a region find that they are
-// stalled.
-const stallTurns = 8
-
-func (b *burst) noteProgress() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.progress = time.Now()
-}
+// despairSteps is the number of instances of a region that despair within the time in
+// which the first one did.
+const despairSteps = 4
 
 // takesOver reports whether the source is the root for the chunk because every
 // instance before it in the succession is excluded.
@@ -202,7 +198,6 @@
 		b.chargeCorrupt(source, digest)
 		return err
 	}
-	b.noteProgress()
 	b.suspects.worked(source.Name())
 	return err
 }
--- a/internal/exchange/fetcher.go
+++ b/internal/exchange/fetcher.go
@@ -35,10 +35,9 @@
 	takeOverWorkers = 2
 	takeOverRing    = 64
 	// minWorkersPerStripe is the least number of chunks of a stripe fetched at a
-	// time. A region with few stripes has more for each, up to totalWorkers, so
-	// that the latency of a thin link does not bound its roots.
+	// time. A region with few stripes has more for each, so that the latency of a
+	// thin link does not bound its roots.
 	minWorkersPerStripe = 2
-	totalWorkers        = 24
 	// sliceBytes is the size of one request over a thin link.
 	sliceBytes = 8 << 10
 )
@@ -106,7 +105,7 @@
 	group := duty.NewGroup(ctx)
 	burst.takeOvers.Go(ctx, burst)
 	for stripe := range burst.layout.Stripes() {
-		for range max(minWorkersPerStripe, totalWorkers/burst.layout.Stripes()) {
+		for range max(minWorkersPerStripe, f.Timing.Workers/burst.layout.Stripes()) {
 			group.Go(func(ctx context.Context) { burst.work(ctx, stripe) })
 		}
 	}
--- a/internal/exchange/takeover.go
+++ b/internal/exchange/takeover.go
@@ -66,7 +66,7 @@
 			return
 		}
 		if !b.fetcher.Store.Has(chunk) {
-			b.tryRound(ctx, b.layout.RootSources(t.index[chunk]), t.index[chunk], true)
+			b.tryRound(ctx, b.layout.RootSources(t.index[chunk]), t.index[chunk], eagerness{impatient: true})
 		}
 		t.mu.Lock()
 		delete(t.active, chunk)
--- a/internal/exchange/timing.go
+++ b/internal/exchange/timing.go
@@ -2,8 +2,11 @@
 
 import "time"
 
-// Timing holds the waits of a burst. They follow from how long the burst may take.
+// Timing holds the waits and the parallelism of a burst. They follow from how long the
+// burst may take.
 type Timing struct {
+	// Workers is the number of chunks that an instance fetches at a time.
+	Workers int
 	// Hold is how long the preferred source may hold a request.
 	Hold time.Duration
 	// FirstPatience is how long a worker waits for its preferred source before it
@@ -22,10 +25,9 @@
 	// UnwantedGrace is how long after the start of a burst an instance that does not
 	// want the set yet counts as one that will.
 	UnwantedGrace time.Duration
-	// Stall is how long no chunk may arrive until sources of every kind are asked,
-	// the origin too: instances that know different members may all wait for each
-	// other.
-	Stall time.Duration
+	// Despair is how long the first instance of a region waits for a chunk until it
+	// asks sources of every kind, the origin too.
+	Despair time.Duration
 	// FirstExclusion is how long a source is left out after its first failure; each
 	// further one doubles it, up to MaxExclusion.
 	FirstExclusion time.Duration
@@ -35,17 +37,17 @@
 // MinuteTiming is for bursts that take minutes.
 func MinuteTiming() Timing {
 	return Timing{
-		Hold: 2 * time.Second, FirstPatience: 20 * time.Second, MinPatience: 3 * time.Second,
+		Workers: 24, Hold: 2 * time.Second, FirstPatience: 20 * time.Second, MinPatience: 3 * time.Second,
 		RetryPause: 200 * time.Millisecond, AssistInterval: 500 * time.Millisecond, OrphanPause: 300 * time.Millisecond,
-		UnwantedGrace: 10 * time.Second, Stall: time.Minute, FirstExclusion: 2 * time.Second, MaxExclusion: 15 * time.Second,
+		UnwantedGrace: 10 * time.Second, Despair: time.Minute, FirstExclusion: 2 * time.Second, MaxExclusion: 15 * time.Second,
 	}
 }
 
 // SecondTiming is for small sets that must be everywhere within seconds.
 func SecondTiming() Timing {
 	return Timing{
-		Hold: 500 * time.Millisecond, FirstPatience: time.Second, MinPatience: 400 * time.Millisecond,
+		Workers: 14, Hold: 500 * time.Millisecond, FirstPatience: time.Second, MinPatience: 400 * time.Millisecond,
 		RetryPause: 50 * time.Millisecond, AssistInterval: 100 * time.Millisecond, OrphanPause: 60 * time.Millisecond,
-		UnwantedGrace: 3 * time.Second, Stall: time.Second, FirstExclusion: 500 * time.Millisecond, MaxExclusion: 4 * time.Second,
+		UnwantedGrace: 3 * time.Second, Despair: 800 * time.Millisecond, FirstExclusion: 500 * time.Millisecond, MaxExclusion: 4 * time.Second,
 	}
 }
--- a/internal/loader/supply.go
+++ b/internal/loader/supply.go
@@ -65,7 +65,8 @@
 	staged := l.takeOverStaged(fetching, manifest)
 	watch := duty.NewGroup(fetching)
 	watch.Go(func(ctx context.Context) { l.cancelWhenReplaced(ctx, wanted, manifest, cancel) })
-	err = l.fetch(fetching, manifest)
+	plan, _ := l.plans.current()
+	err = l.fetcher.Fetch(fetching, manifest, l.arrange(plan, versionOf(manifest)))
 	replaced := fetching.Err() != nil && ctx.Err() == nil
 	watch.Stop()
 	watch.Wait()
@@ -83,48 +84,6 @@
 	return nil
 }
 
-// fetch gets the missing chunks of a set. It begins anew when the members change, since
-// instances that know different members may wait for each other.
-func (l *Loader) fetch(ctx context.Context, manifest *weights.Manifest) error {
-	for {
-		plan, _ := l.plans.current()
-		attempt, cancel := context.WithCancel(ctx)
-		watch := duty.NewGroup(attempt)
-		watch.Go(func(ctx context.Context) { l.cancelWhenMembersChange(ctx, plan.Members, cancel) })
-		err := l.fetcher.Fetch(attempt, manifest, l.arrange(plan, versionOf(manifest)))
-		watch.Stop()
-		watch.Wait()
-		cancel()
-		if err == nil || ctx.Err() != nil {
-			return err
-		}
-	}
-}
-
-// cancelWhenMembersChange calls cancel once the members are others than the given
-// ones, and have been for a while: to begin anew costs what is under way.
-func (l *Loader) cancelWhenMembersChange(ctx context.Context, from MembersPart, cancel context.CancelFunc) {
-	for ctx.Err() == nil {
-		before, changed := l.plans.current()
-		if sameMembers(from, before.Members) {
-			wait(ctx, changed, time.Second)
-			continue
-		}
-		duty.Sleep(ctx, membersSettle)
-		if after, _ := l.plans.current(); sameMembers(before.Members, after.Members) {
-			cancel()
-			return
-		}
-	}
-}
-
-// membersSettle is how long the members must stay the same until a fetch begins anew.
-const membersSettle = 600 * time.Millisecond
-
-func sameMembers(a, b MembersPart) bool {
-	return slices.EqualFunc(a.Instances, b.Instances, func(x, y Member) bool { return x.Instance.Name == y.Instance.Name })
-}
-
 // cancelWhenReplaced ends the work for a goal that a newer one replaced, unless
 // little is missing.
 func (l *Loader) cancelWhenReplaced(ctx context.Context, current goal, manifest *weights.Manifest, cancel context.CancelFunc) {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -186,12 +186,19 @@
 	}
 	var body bytes.Buffer
 	body.Grow(min(max(0, r.response.Header.ContentLength()), maxBodyBytes))
+	length := r.response.Header.ContentLength()
 	for {
-		if err := wait(piece); err != nil {
-			return nil, err
+		next := piece
+		if length >= 0 {
+			next = min(piece, length-body.Len())
 		}
-		n, err := io.CopyN(&body, r.reader, int64(piece))
-		if n < int64(piece) && errors.Is(err, io.EOF) {
+		if next > 0 {
+			if err := wait(next); err != nil {
+				return nil, err
+			}
+		}
+		n, err := io.CopyN(&body, r.reader, int64(max(1, next)))
+		if n < int64(max(1, next)) && errors.Is(err, io.EOF) {
 			return body.Bytes(), nil
 		}
 		if err != nil {
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttputil"
 
@@ -96,3 +97,23 @@
 		response.Close()
 	}
 }
+
+// A piece is asked for with what is left of the body, so that a link is booked for no
+// more than it carries.
+func TestReadPiecesWaitsForWhatIsLeft(t *testing.T) {
+	response, err := serve(t, make([]byte, 2*piece+10)).Do(upstream.Request{Method: "GET", URL: "http://peer/"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Close()
+	var waited []int
+	if _, err := response.ReadPieces(piece, func(bytes int) error {
+		waited = append(waited, bytes)
+		return nil
+	}); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]int{piece, piece, 10}, waited); diff != "" {
+		t.Errorf("bytes waited for (-want +got):\n%s", diff)
+	}
+}
