Keep in the store when versions became known; finish older sets by the clock

A newer version, named 2 s after the older one, made some loaders give the older one up at 60% and others not; each then waited for chunks that its neighbours did not want, and with the origin down nothing was loaded for 7 s.

Gateways note in the status of the model's object when each version became known, one of them as a rule. Every loader decides by the same times whether an older set is finished first.

Ruled out: counting a version as due once half of the engines serve it (fails if few have it), and cancelling by what is missing.

--- a/internal/dispatch/candidate.go
+++ b/internal/dispatch/candidate.go
@@ -26,6 +26,10 @@
 // place that becomes free is taken at once.
 const overbook = 1
 
+// timelyShare is the part of the time to the objective that the prediction may take:
+// prompts that arrive within the same pass delay the first event further.
+const timelyShare = 0.8
+
 // lateExpected is the predicted time to the first event up to which an engine takes
 // jobs that are late already: below every objective, so that jobs that are not late
 // still find room there.
@@ -77,7 +81,7 @@
 	found.room = found.running < endpoint.Slots+overbook && d.coldRoom(described, state, now)
 	if described.Engine != nil {
 		found.expected = predict(described.Engine, found.running, found.unread, job.PromptTokens, state.pace(endpoint, now))
-		found.room = found.room && found.expected <= max(job.Objective.Sub(now), lateExpected)
+		found.room = found.room && found.expected <= max(time.Duration(timelyShare*float64(job.Objective.Sub(now))), lateExpected)
 	}
 	return found
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,6 +80,7 @@
 	group.Go(func(ctx context.Context) { g.server.Run(ctx, controlListener) })
 	group.Go(g.register)
 	group.Go(g.followEngines)
+	group.Go(g.keepHistory)
 	group.Go(g.peering.Run)
 	group.Go(g.peering.KeepUp)
 	group.Every(leaverInterval, func(context.Context) { g.flights.cancelLeft(g.Left) })
@@ -131,7 +132,7 @@
 	g.control = &control.Client{Dial: g.Dial}
 	g.peering = &peering.Peering{
 		Self: g.self, Table: g.table, Control: g.control, Bulk: &control.Client{Dial: g.Dial}, Log: g.Log,
-		Digest: g.digest, Copies: copies, Seeds: g.Deployment.Seeds, OnDigest: g.dispatcher.NoteDigest,
+		Digest: g.digest, Copies: copies, Seeds: g.Deployment.Seeds, OnDigest: g.noteDigest,
 	}
 	g.engines = &engines{
 		Control: g.control, Ports: g.Deployment.PeerPorts, Log: g.Log, Plan: g.loaderPlan, OnStatus: g.dispatcher.NoteStatus,
@@ -149,12 +150,6 @@
 	return listener, errors.Wrap(err, "listen for other gateways")
 }
 
-// digest tells the other gateways how this one is.
-func (g *Gateway) digest() peering.Digest {
-	loads, demands := g.dispatcher.Digest()
-	return peering.Digest{Ready: g.ready(), Stopping: g.stopping.Load(), Loads: loads, Demands: demands}
-}
-
 // describeService returns a service of the configuration in force.
 func (g *Gateway) describeService(name string) (*configuration.Service, bool) {
 	current := g.observer.Configuration()
@@ -164,15 +159,6 @@
 	return current.Service(name)
 }
 
-// beginMargin is the time from sending a request to its first token, within which the
-// bound of a rollout may pass.
-const beginMargin = 700 * time.Millisecond
-
-// demandedVersion returns the version of a model below which nothing may begin.
-func (g *Gateway) demandedVersion(model string) int64 {
-	return g.observer.DueVersion(model, g.Deployment.Bounds.Rollout-beginMargin)
-}
-
 func newServer(handler fasthttp.RequestHandler) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler: handler, ReadBufferSize: readBufferLen, MaxRequestBodySize: maxBodyBytes,
--- a/internal/informer/object.go
+++ b/internal/informer/object.go
@@ -27,6 +27,8 @@
 	// Revision is the store's revision of the object's last change.
 	Revision int64           `json:"revision"`
 	Value    json.RawMessage `json:"value"`
+	// Status is what the system notes beside the value; empty if nothing.
+	Status json.RawMessage `json:"status,omitempty"`
 }
 
 // Page is a part of a list. Revision is the store's when it answered.
--- a/internal/loader/observe.go
+++ b/internal/loader/observe.go
@@ -27,7 +27,7 @@
 
 // NewPlan derives the plan of the loaders of a service. Named is when the wanted
 // version became known, revision that of the endpoints.
-func NewPlan(current *configuration.Configuration, view *fleet.View, service string, ports deployment.Ports, named func(model string) time.Time) (Plan, bool) {
+func NewPlan(current *configuration.Configuration, view *fleet.View, service string, ports deployment.Ports, named func(model string, version int64) time.Time) (Plan, bool) {
 	described, known := current.Service(service)
 	if !known || described.Engine == nil || len(described.Engine.Models) == 0 {
 		return Plan{}, false
@@ -43,7 +43,7 @@
 		plan.Model.Origin, plan.Model.OriginZone = origin.Address, origin.AvailabilityZone
 	}
 	if version := view.Wanted(model); version > 0 {
-		plan.Wanted = WantedPart{Version: version, Age: time.Since(named(model))}
+		plan.Wanted = WantedPart{Version: version, Age: time.Since(named(model, version))}
 	}
 	return plan, true
 }
@@ -138,7 +138,7 @@
 		if current == nil {
 			continue
 		}
-		if plan, known := NewPlan(current, following.Fleet(), l.Deployment.Endpoint.Service, l.Deployment.PeerPorts, following.NamedAt); known {
+		if plan, known := NewPlan(current, following.Fleet(), l.Deployment.Endpoint.Service, l.Deployment.PeerPorts, following.Rollouts().At); known {
 			l.plans.offer(plan)
 		}
 	}
--- a/internal/loader/supply.go
+++ b/internal/loader/supply.go
@@ -23,9 +23,6 @@
 	// maxSets is the number of sets that are kept: the wanted one, the one served,
 	// and one that was replaced on the way.
 	maxSets = 3
-	// finishShare is the missing part of a set up to which it is fetched to its end
-	// although a newer one is wanted.
-	finishShare = 0.25
 )
 
 // supply holds the chunks of the wanted set in memory, again and again, until ctx
@@ -64,7 +61,7 @@
 	}
 	staged := l.takeOverStaged(fetching, manifest)
 	watch := duty.NewGroup(fetching)
-	watch.Go(func(ctx context.Context) { l.cancelWhenReplaced(ctx, wanted, manifest, cancel) })
+	watch.Go(func(ctx context.Context) { l.cancelWhenReplaced(ctx, wanted, cancel) })
 	plan, _ := l.plans.current()
 	err = l.fetcher.Fetch(fetching, manifest, l.arrange(plan, versionOf(manifest)))
 	replaced := fetching.Err() != nil && ctx.Err() == nil
@@ -84,18 +81,42 @@
 	return nil
 }
 
-// cancelWhenReplaced ends the work for a goal that a newer one replaced, unless
-// little is missing.
-func (l *Loader) cancelWhenReplaced(ctx context.Context, current goal, manifest *weights.Manifest, cancel context.CancelFunc) {
+// cancelWhenReplaced ends the work for a goal that a newer one replaced, once it is not
+// worth finishing. Every instance decides by the same times, so that they go on to the
+// newer one together.
+func (l *Loader) cancelWhenReplaced(ctx context.Context, current goal, cancel context.CancelFunc) {
 	for ctx.Err() == nil {
 		_, changed := l.plans.current()
 		now, known := l.want()
-		if known && now != current && l.store.Missing(manifest) > int(finishShare*float64(len(manifest.Chunks()))) {
-			cancel()
-			return
+		if !known || now == current {
+			wait(ctx, changed, time.Second)
+			continue
+		}
+		if until := l.finishUntil(current, now); time.Now().Before(until) {
+			wait(ctx, changed, time.Until(until))
+			continue
 		}
-		wait(ctx, changed, time.Second)
+		cancel()
+		return
+	}
+}
+
+const (
+	// skipWithin is the time within which a newer version makes the older one not worth
+	// fetching: little of it has arrived.
+	skipWithin = time.Second
+	// leastUse is how long before the newer version is due the older one must be held
+	// to be of use.
+	leastUse = 3 * time.Second
+)
+
+// finishUntil returns until when a set is fetched although a newer one is wanted.
+func (l *Loader) finishUntil(current, newer goal) time.Time {
+	named, namedNewer := l.plans.namedAt(current.version), l.plans.namedAt(newer.version)
+	if named.IsZero() || namedNewer.Sub(named) < skipWithin {
+		return namedNewer
 	}
+	return namedNewer.Add(l.Deployment.Bounds.Rollout - leastUse)
 }
 
 // heldSets remembers which sets are held whole. It is safe for concurrent use.
--- a/internal/observer/apply.go
+++ b/internal/observer/apply.go
@@ -1,6 +1,7 @@
 package observer
 
 import (
+	"encoding/json"
 	"time"
 
 	"github.com/mimosaward/mimosaward/internal/event"
@@ -72,56 +73,44 @@
 			continue
 		}
 		versions[model] = version
-		if o.fleet.View().Wanted(model) < version {
-			o.noteNamed(model, version)
+		o.readHistory(model, object)
+		if o.rollouts.note(model, version, time.Now()) {
 			o.Log.Emit(event.RolloutNamed, event.Fields{"model": model, "version": version, "revision": object.Revision})
 		}
 	}
 	o.fleet.SetWanted(versions)
 }
 
-// naming is a version of a model and when it became known.
-type naming struct {
-	version int64
-	at      time.Time
+// NamedAt is when a version became known, by the time of day. It lasts in the status of
+// the model's object, for processes that restart.
+type NamedAt struct {
+	Version  int64 `json:"version"`
+	UnixTime int64 `json:"unixMilliseconds"`
 }
 
-// maxNamings is the number of versions of a model whose times are remembered.
-const maxNamings = 8
-
-// noteNamed remembers when a new version of a model became known.
-func (o *Observer) noteNamed(model string, version int64) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.named[model] = append(o.named[model], naming{version: version, at: time.Now()})
-	o.named[model] = o.named[model][max(0, len(o.named[model])-maxNamings):]
-}
-
-// NamedAt returns when the wanted version of a model became known, or zero.
-func (o *Observer) NamedAt(model string) time.Time {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	known := o.named[model]
-	if len(known) == 0 {
-		return time.Time{}
+// readHistory takes over when the versions of a model became known.
+func (o *Observer) readHistory(model string, object informer.Object) {
+	if len(object.Status) == 0 || string(object.Status) == "null" {
+		return
 	}
-	return known[len(known)-1].at
-}
-
-// DueVersion returns the newest version of a model that became known at least the
-// given time ago, 0 if there is none.
-func (o *Observer) DueVersion(model string, age time.Duration) int64 {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	due := int64(0)
-	for _, named := range o.named[model] {
-		if time.Since(named.at) >= age {
-			due = max(due, named.version)
+	var history []NamedAt
+	if err := json.Unmarshal(object.Status, &history); err != nil {
+		o.noteUnreadable(platform.KindRollouts+" status", object, err)
+		return
+	}
+	for _, named := range history {
+		at := time.UnixMilli(named.UnixTime)
+		if at.After(time.Now()) {
+			// The clock of whoever wrote it is ahead; it became known at the latest now.
+			at = time.Now()
 		}
+		o.rollouts.Hear(model, named.Version, at)
 	}
-	return due
 }
 
+// Rollouts returns when the versions of models became known.
+func (o *Observer) Rollouts() *Rollouts { return &o.rollouts }
+
 // noteUnreadable reports an object that cannot be read, once for each change of it.
 func (o *Observer) noteUnreadable(kind string, object informer.Object, cause error) {
 	key := kind + "/" + object.Name
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"slices"
 	"sync"
 	"time"
@@ -32,6 +33,7 @@
 
 	configuration configuration.Holder
 	fleet         *fleet.Holder
+	rollouts      Rollouts
 	informers     []*informer.Informer
 
 	mu      sync.Mutex
@@ -39,8 +41,6 @@
 	// unreadable holds the revisions of the objects that were reported as
 	// unreadable, so that each is reported once.
 	unreadable map[string]int64
-	// named holds the versions of each model in the order in which they became known.
-	named map[string][]naming
 }
 
 // Open prepares the observer.
@@ -48,7 +48,6 @@
 	o.fleet = fleet.NewHolder()
 	o.changed = make(chan struct{})
 	o.unreadable = map[string]int64{}
-	o.named = map[string][]naming{}
 	o.Follow(platform.KindConfiguration, o.applyConfiguration)
 	o.Follow(platform.KindEndpoints, o.applyEndpoints)
 	o.Follow(platform.KindEvacuations, o.applyEvacuations)
@@ -90,6 +89,27 @@
 // Configuration returns the configuration in force, nil before the first one.
 func (o *Observer) Configuration() *configuration.Configuration { return o.configuration.Current() }
 
+// RolloutObjects returns the objects in which the operators name versions.
+func (o *Observer) RolloutObjects() map[string]informer.Object {
+	for _, following := range o.informers {
+		if following.Kind == platform.KindRollouts {
+			snapshot, _ := following.Snapshot()
+			return snapshot.Objects
+		}
+	}
+	return nil
+}
+
+// HasHistory reports whether an object's status tells when a version became known.
+func HasHistory(object informer.Object, version int64) bool {
+	var history []NamedAt
+	if err := json.Unmarshal(object.Status, &history); err != nil {
+		// Whatever stands there is replaced by a history.
+		return false
+	}
+	return slices.ContainsFunc(history, func(named NamedAt) bool { return named.Version == version })
+}
+
 // Fleet returns what is known about the endpoints.
 func (o *Observer) Fleet() *fleet.View { return o.fleet.View() }
 
--- a/internal/peering/member.go
+++ b/internal/peering/member.go
@@ -27,10 +27,20 @@
 	Loads []Load
 	// Demands are its requests for each service.
 	Demands []Demand
+	// Rollouts are the versions of models that it knows, and for how long.
+	Rollouts []Rollout
 	// Others are the gateways that it heard of lately.
 	Others []Member
 }
 
+// Rollout is a version of a model that the operators named.
+type Rollout struct {
+	Model   string
+	Version int64
+	// Age is how long a gateway has known it.
+	Age time.Duration
+}
+
 // Load is what a gateway has at an endpoint.
 type Load struct {
 	Endpoint string
