Ask the origin again soon after a failure

Cause: the origin was left out like a neighbour that fails, for up to 4 s after an outage, although nothing can stand in for it.

It is left out for 200 ms now, however often it failed.

--- a/internal/exchange/burst.go
+++ b/internal/exchange/burst.go
@@ -248,7 +248,11 @@
 	if ctx.Err() != nil || b.mayHaveLater(err) {
 		return
 	}
-	b.suspects.failed(source.Name())
+	if source.Kind == swarm.Origin {
+		b.suspects.failedOrigin(source.Name())
+	} else {
+		b.suspects.failed(source.Name())
+	}
 	b.fetcher.Log.Emit(event.PeerExcluded, event.Fields{"peer": source.Name(), "error": err.Error()})
 }
 
--- a/internal/exchange/members_test.go
+++ b/internal/exchange/members_test.go
@@ -8,6 +8,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/mimosaward/mimosaward/internal/duty"
 	"github.com/mimosaward/mimosaward/internal/event"
 	"github.com/mimosaward/mimosaward/internal/exchange"
@@ -91,3 +93,30 @@
 		})
 	}
 }
+
+// When the origin is back after an outage, what is missing is fetched at once, however
+// often it was asked in vain.
+func TestOriginIsAskedSoonAfterItsReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSwarm(t, 3, 1, 24)
+		start := time.Now()
+		const outage = 4 * time.Second
+		for _, fetcher := range s.fetchers {
+			working := fetcher.FetchOrigin
+			fetcher.FetchOrigin = func(ctx context.Context, chunk weights.Digest) ([]byte, error) {
+				if time.Since(start) < outage {
+					return nil, errors.New("connection refused")
+				}
+				return working(ctx, chunk)
+			}
+		}
+		group := duty.NewGroup(t.Context())
+		for _, fetcher := range s.fetchers {
+			group.Go(func(ctx context.Context) { _ = fetcher.Fetch(ctx, s.manifest, s.members) })
+		}
+		group.Wait()
+		if took := time.Since(start) - outage; took > time.Second {
+			t.Errorf("the set was everywhere %s after the origin's return, want at most 1s", took)
+		}
+	})
+}
--- a/internal/exchange/suspects.go
+++ b/internal/exchange/suspects.go
@@ -49,6 +49,14 @@
 	s.exclude(s.get(name))
 }
 
+// failedOrigin leaves the origin out for a short while, always the same: nothing else
+// can stand in for it, so it must be asked soon after it is back.
+func (s *suspects) failedOrigin(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.get(name).until = time.Now().Add(s.timing.OriginPause)
+}
+
 // corrupt charges the source for a corrupt chunk and reports whether it is
 // left out now.
 func (s *suspects) corrupt(name string) bool {
--- a/internal/exchange/timing.go
+++ b/internal/exchange/timing.go
@@ -28,6 +28,8 @@
 	// Despair is how long the first instance of a region waits for a chunk until it
 	// asks sources of every kind, the origin too.
 	Despair time.Duration
+	// OriginPause is how long the origin is left out after a failure.
+	OriginPause time.Duration
 	// FirstExclusion is how long a source is left out after its first failure; each
 	// further one doubles it, up to MaxExclusion.
 	FirstExclusion time.Duration
@@ -39,7 +41,8 @@
 	return Timing{
 		Workers: 24, Hold: 2 * time.Second, FirstPatience: 20 * time.Second, MinPatience: 3 * time.Second,
 		RetryPause: 200 * time.Millisecond, AssistInterval: 500 * time.Millisecond, OrphanPause: 300 * time.Millisecond,
-		UnwantedGrace: 10 * time.Second, Despair: time.Minute, FirstExclusion: 2 * time.Second, MaxExclusion: 15 * time.Second,
+		UnwantedGrace: 10 * time.Second, Despair: time.Minute,
+		OriginPause: 2 * time.Second, FirstExclusion: 2 * time.Second, MaxExclusion: 15 * time.Second,
 	}
 }
 
@@ -48,6 +51,7 @@
 	return Timing{
 		Workers: 14, Hold: 500 * time.Millisecond, FirstPatience: time.Second, MinPatience: 400 * time.Millisecond,
 		RetryPause: 50 * time.Millisecond, AssistInterval: 100 * time.Millisecond, OrphanPause: 60 * time.Millisecond,
-		UnwantedGrace: 3 * time.Second, Despair: 800 * time.Millisecond, FirstExclusion: 500 * time.Millisecond, MaxExclusion: 4 * time.Second,
+		UnwantedGrace: 3 * time.Second, Despair: 800 * time.Millisecond,
+		OriginPause: 200 * time.Millisecond, FirstExclusion: 500 * time.Millisecond, MaxExclusion: 4 * time.Second,
 	}
 }
