Get overdue chunks through keepers, not from the origin by each instance

Cause: instances whose chunks were overdue asked the origin themselves.

All instances of a region turn to the same one for an overdue chunk, found by rendezvous hashing of the chunk, and that one to its like in the home region, which asks the origin. Loaders that start in the middle of a burst ask keepers before the origin too.

--- a/internal/carrier/chunks.go
+++ b/internal/carrier/chunks.go
@@ -37,6 +37,7 @@
 	hold, _ := time.ParseDuration(c.Query("hold"))
 	request.Hold = min(hold, maxHold)
 	request.TakeOver = c.Query("takeOver") == "true"
+	request.Rescue = c.Query("rescue") == "true"
 	request.Spare = c.Query("spare") == "true"
 	served, err := r.Serve(c.Context(), request)
 	switch {
@@ -116,8 +117,8 @@
 		}
 	}
 	held := time.Since(start)
-	address := fmt.Sprintf("http://%s/chunks/%s?offset=%d&length=%d&hold=%s&takeOver=%t&spare=%t",
-		peer.WorkAddress, request.Chunk, request.Offset, request.Length, request.Hold, request.TakeOver, request.Spare)
+	address := fmt.Sprintf("http://%s/chunks/%s?offset=%d&length=%d&hold=%s&takeOver=%t&rescue=%t&spare=%t",
+		peer.WorkAddress, request.Chunk, request.Offset, request.Length, request.Hold, request.TakeOver, request.Rescue, request.Spare)
 	response, err := r.peers.Do(upstream.Request{Method: fiber.MethodGet, URL: address})
 	if err != nil {
 		return exchange.Answer{}, errors.Mark(err, exchange.ErrStalled)
--- a/internal/exchange/burst.go
+++ b/internal/exchange/burst.go
@@ -20,8 +20,9 @@
 	layout   *swarm.Layout
 	suspects *suspects
 	start    time.Time
-	// takeOvers and queues are set by prepare.
+	// takeOvers, rescues and queues are set by prepare.
 	takeOvers *takeOvers
+	rescues   *takeOvers
 	queues    *stripeQueues
 
 	mu sync.Mutex
@@ -32,7 +33,10 @@
 // prepare deals the missing chunks to the stripes.
 func (b *burst) prepare() {
 	b.start = time.Now()
-	b.takeOvers = newTakeOvers(b.manifest.Chunks())
+	b.takeOvers = newTakeOvers(b.manifest.Chunks(), func(ctx context.Context, index int) {
+		b.tryRound(ctx, b.layout.RootSources(index), index, true)
+	})
+	b.rescues = newTakeOvers(b.manifest.Chunks(), b.rescueFromUpstream)
 	b.queues = newStripeQueues(b.layout.Stripes())
 	for index, chunk := range b.manifest.Chunks() {
 		if !b.fetcher.Store.Has(chunk) {
@@ -77,7 +81,13 @@
 		// An orphan cannot know which of the others gets the chunk first.
 		orphan := b.suspects.excluded(sources[0].Name())
 		impatient := assisting || orphan || time.Since(start) > b.patience()
-		reachable := b.tryRound(ctx, sources, index, eagerness{impatient: impatient, desperate: time.Since(start) > b.despair()})
+		if b.mustRescue(sources[0], time.Since(start)) {
+			b.rescue(ctx, index)
+			if b.fetcher.Store.Has(digest) {
+				break
+			}
+		}
+		reachable := b.tryRound(ctx, sources, index, impatient)
 		switch {
 		case orphan:
 			duty.Sleep(ctx, b.fetcher.Timing.OrphanPause)
@@ -109,25 +119,28 @@
 	b.interval += (taken - b.interval) / intervalWeight
 }
 
-// eagerness says which sources are asked besides the preferred one: if impatient the
-// others of its kind, if desperate those of every kind.
-type eagerness struct {
-	impatient bool
-	desperate bool
+// mustRescue reports whether a chunk is not waited for by the layout alone: it is
+// overdue, or this instance begins late and would ask outside the region for what its
+// neighbours may have.
+func (b *burst) mustRescue(preferred swarm.Source, waited time.Duration) bool {
+	if b.fetcher.Late && preferred.Kind != swarm.Peer {
+		return true
+	}
+	return waited > b.fetcher.Timing.Overdue
 }
 
-// tryRound asks the preferred source that is not excluded, and others if eager. It
-// turns to sources of a farther kind only when every source of the nearer kind is
-// excluded or unreachable, or if desperate. It reports whether any source was
-// reachable.
-func (b *burst) tryRound(ctx context.Context, sources []swarm.Source, index int, eager eagerness) bool {
+// tryRound asks the preferred source that is not excluded and, if impatient,
+// each of the others of its kind. It turns to sources of a farther kind only
+// when every source of the nearer kind is excluded or unreachable. It reports
+// whether any source was reachable.
+func (b *burst) tryRound(ctx context.Context, sources []swarm.Source, index int, impatient bool) bool {
 	reachable := false
 	kind := swarm.Peer
 	for place, source := range sources {
 		if b.suspects.excluded(source.Name()) {
 			continue
 		}
-		if reachable && !eager.desperate && (!eager.impatient || source.Kind != kind) {
+		if reachable && (!impatient || source.Kind != kind) {
 			break
 		}
 		kind = source.Kind
@@ -146,17 +159,6 @@
 	return reachable
 }
 
-// despair returns how long a worker waits for a chunk until it asks sources of every
-// kind: instances that know different members may wait for each other. The instances
-// of a region do so one after the other, so that the origin is not asked by all.
-func (b *burst) despair() time.Duration {
-	return b.fetcher.Timing.Despair * time.Duration(despairSteps+b.layout.Index()) / despairSteps
-}
-
-// despairSteps is the number of instances of a region that despair within the time in
-// which the first one did.
-const despairSteps = 4
-
 // takesOver reports whether the source is the root for the chunk because every
 // instance before it in the succession is excluded.
 func (b *burst) takesOver(sources []swarm.Source, source swarm.Source) bool {
--- a/internal/exchange/fetcher.go
+++ b/internal/exchange/fetcher.go
@@ -61,6 +61,8 @@
 	FetchPeer func(ctx context.Context, peer roster.Instance, request Request) (Answer, error)
 	// FetchOrigin asks the origin for a whole chunk.
 	FetchOrigin func(ctx context.Context, chunk weights.Digest) ([]byte, error)
+	// Late is true if other instances began the burst some time ago.
+	Late bool
 	// Timing holds the waits; zero means MinuteTiming.
 	Timing Timing
 	// Sources chooses the sources; nil means swarm.Layout.Sources.
@@ -103,7 +105,8 @@
 	f.current.Store(burst)
 	defer f.current.CompareAndSwap(burst, nil)
 	group := duty.NewGroup(ctx)
-	burst.takeOvers.Go(ctx, burst)
+	burst.takeOvers.Go(ctx, f.Store.Has)
+	burst.rescues.Go(ctx, f.Store.Has)
 	for stripe := range burst.layout.Stripes() {
 		for range max(minWorkersPerStripe, f.Timing.Workers/burst.layout.Stripes()) {
 			group.Go(func(ctx context.Context) { burst.work(ctx, stripe) })
@@ -111,6 +114,7 @@
 	}
 	group.Wait()
 	burst.takeOvers.Stop()
+	burst.rescues.Stop()
 	if err := ctx.Err(); err != nil {
 		return errors.Wrapf(err, "fetch weight set %s", manifest.Digest())
 	}
@@ -124,8 +128,13 @@
 	if request.Spare && f.uploads.Load() >= int64(f.FanOut/spareShare) {
 		return Answer{}, ErrBusy
 	}
-	if current := f.current.Load(); request.TakeOver && current != nil {
-		current.takeOvers.Offer(request.Chunk)
+	if current := f.current.Load(); current != nil {
+		switch {
+		case request.TakeOver:
+			current.takeOvers.Offer(request.Chunk)
+		case request.Rescue:
+			current.rescues.Offer(request.Chunk)
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, max(request.Hold, time.Millisecond))
 	defer cancel()
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -17,6 +17,9 @@
 	// TakeOver asks the peer to get the chunk from outside its region, since
 	// the instances before it in the succession are gone.
 	TakeOver bool
+	// Rescue asks the peer, the chunk's keeper, to get the chunk from outside its
+	// region.
+	Rescue bool
 	// Spare marks a request of an instance that is not a child of the peer. It
 	// is served only while the peer has upload capacity to spare.
 	Spare bool
--- a/internal/exchange/takeover.go
+++ b/internal/exchange/takeover.go
@@ -9,9 +9,11 @@
 	"github.com/mimosaward/mimosaward/internal/weights"
 )
 
-// takeOvers fetches chunks from outside the region on behalf of a root that is
-// gone. It is safe for concurrent use.
+// takeOvers fetches chunks on behalf of others, each once however many ask for it. It
+// is safe for concurrent use.
 type takeOvers struct {
+	// fetch tries once to get a chunk.
+	fetch  func(ctx context.Context, index int)
 	wanted *ring.Ring[weights.Digest]
 	group  *duty.Group
 
@@ -20,8 +22,9 @@
 	index  map[weights.Digest]int
 }
 
-func newTakeOvers(chunks []weights.Digest) *takeOvers {
+func newTakeOvers(chunks []weights.Digest, fetch func(ctx context.Context, index int)) *takeOvers {
 	t := &takeOvers{
+		fetch:  fetch,
 		wanted: ring.New[weights.Digest](takeOverRing),
 		active: map[weights.Digest]bool{},
 		index:  make(map[weights.Digest]int, len(chunks)),
@@ -46,10 +49,10 @@
 }
 
 // Go starts the workers.
-func (t *takeOvers) Go(ctx context.Context, b *burst) {
+func (t *takeOvers) Go(ctx context.Context, held func(weights.Digest) bool) {
 	t.group = duty.NewGroup(ctx)
 	for range takeOverWorkers {
-		t.group.Go(func(ctx context.Context) { t.work(ctx, b) })
+		t.group.Go(func(ctx context.Context) { t.work(ctx, held) })
 	}
 }
 
@@ -59,14 +62,14 @@
 	t.group.Wait()
 }
 
-func (t *takeOvers) work(ctx context.Context, b *burst) {
+func (t *takeOvers) work(ctx context.Context, held func(weights.Digest) bool) {
 	for {
 		chunk, err := t.wanted.Take(ctx)
 		if err != nil {
 			return
 		}
-		if !b.fetcher.Store.Has(chunk) {
-			b.tryRound(ctx, b.layout.RootSources(t.index[chunk]), t.index[chunk], eagerness{impatient: true})
+		if !held(chunk) {
+			t.fetch(ctx, t.index[chunk])
 		}
 		t.mu.Lock()
 		delete(t.active, chunk)
--- a/internal/exchange/timing.go
+++ b/internal/exchange/timing.go
@@ -25,9 +25,8 @@
 	// UnwantedGrace is how long after the start of a burst an instance that does not
 	// want the set yet counts as one that will.
 	UnwantedGrace time.Duration
-	// Despair is how long the first instance of a region waits for a chunk until it
-	// asks sources of every kind, the origin too.
-	Despair time.Duration
+	// Overdue is how long a worker waits for a chunk until it turns to its keeper.
+	Overdue time.Duration
 	// OriginPause is how long the origin is left out after a failure.
 	OriginPause time.Duration
 	// FirstExclusion is how long a source is left out after its first failure; each
@@ -41,7 +40,7 @@
 	return Timing{
 		Workers: 24, Hold: 2 * time.Second, FirstPatience: 20 * time.Second, MinPatience: 3 * time.Second,
 		RetryPause: 200 * time.Millisecond, AssistInterval: 500 * time.Millisecond, OrphanPause: 300 * time.Millisecond,
-		UnwantedGrace: 10 * time.Second, Despair: time.Minute,
+		UnwantedGrace: 10 * time.Second, Overdue: time.Minute,
 		OriginPause: 2 * time.Second, FirstExclusion: 2 * time.Second, MaxExclusion: 15 * time.Second,
 	}
 }
@@ -51,7 +50,7 @@
 	return Timing{
 		Workers: 14, Hold: 500 * time.Millisecond, FirstPatience: time.Second, MinPatience: 400 * time.Millisecond,
 		RetryPause: 50 * time.Millisecond, AssistInterval: 100 * time.Millisecond, OrphanPause: 60 * time.Millisecond,
-		UnwantedGrace: 3 * time.Second, Despair: 800 * time.Millisecond,
+		UnwantedGrace: 3 * time.Second, Overdue: 1500 * time.Millisecond,
 		OriginPause: 200 * time.Millisecond, FirstExclusion: 500 * time.Millisecond, MaxExclusion: 4 * time.Second,
 	}
 }
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -52,6 +52,7 @@
 	store   *weights.Store
 	fetcher *exchange.Fetcher
 	carrier *carrier.Carrier
+	started time.Time
 	control *control.Client
 	plans   *planBoard
 	status  statusBoard
@@ -109,6 +110,7 @@
 }
 
 func (l *Loader) prepare() {
+	l.started = time.Now()
 	l.plans = newPlanBoard()
 	l.control = &control.Client{Dial: l.DialControl}
 	l.originTurn.Slots = originInFlight
--- a/internal/loader/supply.go
+++ b/internal/loader/supply.go
@@ -20,6 +20,9 @@
 	supplyInterval = 500 * time.Millisecond
 	// supplyPause is the pause after a failed step.
 	supplyPause = 100 * time.Millisecond
+	// lateAfter is how long after a version was named a loader that starts counts as late
+	// for its burst: the others hold a part of it.
+	lateAfter = time.Second
 	// maxSets is the number of sets that are kept: the wanted one, the one served,
 	// and one that was replaced on the way.
 	maxSets = 3
@@ -63,6 +66,8 @@
 	watch := duty.NewGroup(fetching)
 	watch.Go(func(ctx context.Context) { l.cancelWhenReplaced(ctx, wanted, cancel) })
 	plan, _ := l.plans.current()
+	named := l.plans.namedAt(wanted.version)
+	l.fetcher.Late = !named.IsZero() && l.started.Sub(named) > lateAfter
 	err = l.fetcher.Fetch(fetching, manifest, l.arrange(plan, versionOf(manifest)))
 	replaced := fetching.Err() != nil && ctx.Err() == nil
 	watch.Stop()
--- /dev/null
+++ b/internal/swarm/keeper.go
@@ -0,0 +1,31 @@
+package swarm
+
+import "github.com/mimosaward/mimosaward/internal/roster"
+
+// maxKeepers bounds the instances of a region that are asked for a chunk when the
+// layout does not bring it: the keeper, and those that stand in for it.
+const maxKeepers = 3
+
+// Keepers returns the instances of the own region that everybody there turns to for a
+// chunk when the layout does not bring it, the first one first. Instances that know
+// different members mostly agree on it.
+func (l *Layout) Keepers(chunk string) []Source {
+	return l.keepers(chunk, l.own)
+}
+
+// UpstreamKeepers returns where a keeper gets the chunk: from the keepers of the home
+// region, then from the origin.
+func (l *Layout) UpstreamKeepers(chunk string) []Source {
+	if l.homeRegion == nil || l.homeRegion == l.own {
+		return []Source{FromOrigin()}
+	}
+	return append(l.keepers(chunk, l.homeRegion), FromOrigin())
+}
+
+func (l *Layout) keepers(chunk string, of *region) []Source {
+	var keepers []Source
+	for _, instance := range roster.Top("keeper/"+chunk, of.ranked, maxKeepers) {
+		keepers = append(keepers, l.From(instance))
+	}
+	return keepers
+}
--- a/internal/swarm/layout.go
+++ b/internal/swarm/layout.go
@@ -119,9 +119,6 @@
 	return members, self
 }
 
-// Index returns the instance's rank in its region.
-func (l *Layout) Index() int { return l.index }
-
 // Stripes returns the number of stripes in the instance's region.
 func (l *Layout) Stripes() int { return l.own.stripes }
 
