--- a/internal/dispatch/candidate.go
+++ b/internal/dispatch/candidate.go
@@ -26,14 +26,15 @@
 // place that becomes free is taken at once.
 const overbook = 3
 
-// timelyShare is the part of the time to the objective that the prediction may take:
-// requests that arrive within the same pass delay the first event further.
-const timelyShare = 0.66
-
-// lateExpected is the predicted time to the first event up to which an engine takes
-// jobs that are late already: below every objective, so that jobs that are not late
-// still find room there.
-const lateExpected = 160 * time.Millisecond
+const (
+	// timelyShare is the part of the time to the objective, less the reading of the own
+	// prompt, that the predicted delay by others may take: requests that arrive within
+	// the same pass delay the first event further.
+	timelyShare = 0.55
+	// idleDelay is the predicted delay by others up to which an engine takes any job,
+	// also one that is late already: there is room for all.
+	idleDelay = 120 * time.Millisecond
+)
 
 // candidates calls visit for each endpoint that may take the job.
 func (d *Dispatcher) candidates(job *Job, now time.Time, visit func(candidate)) {
@@ -81,7 +82,9 @@
 	found.room = found.running < endpoint.Slots+overbook && d.coldRoom(described, state, now)
 	if described.Engine != nil {
 		found.expected = predict(described.Engine, found.running, found.unread, job.PromptTokens, state.pace(endpoint, now))
-		found.room = found.room && found.expected <= max(time.Duration(timelyShare*float64(job.Objective.Sub(now))), lateExpected)
+		own := readTime(described.Engine, job.PromptTokens)
+		spare := time.Duration(timelyShare * float64(job.Objective.Sub(now)-own))
+		found.room = found.room && found.expected-own <= max(spare, idleDelay)
 	}
 	return found
 }
