Leave out endpoints that were replaced at their address

Cause: after a loss of power engines start under new IDs, and their old entries stay in the store for 3.6 s. Those looked idle, so they drew the requests: 553 were refused with 421 within 2 s, each cost an attempt, and callers got a refusal although all engines served again.

Of two entries with one address the later start counts. An endpoint at whose address another one answers, or whose loader tells of a later start, is left out, and such an answer is no attempt.

--- a/internal/dispatch/candidate.go
+++ b/internal/dispatch/candidate.go
@@ -55,6 +55,9 @@
 		}
 		state := d.state(endpoint.ID)
 		state.noteEntry(endpoint, now)
+		if state.replaced(endpoint, now) {
+			continue
+		}
 		if job.Model != "" {
 			version := state.version(endpoint, job.Model, now)
 			if version == 0 || version < demanded || (job.Version > 0 && version != job.Version) {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -326,6 +326,17 @@
 	g.state.health.refused(time.Now())
 }
 
+// Misdirected notes that another endpoint answers at the endpoint's address.
+func (g *Grant) Misdirected() {
+	d := g.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	g.state.misdirected = g.Endpoint.Incarnation
+	if g.Endpoint.Incarnation == 0 {
+		g.state.health.failed(time.Now())
+	}
+}
+
 // End gives the endpoint's place back.
 func (g *Grant) End() {
 	d := g.dispatcher
--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -28,6 +28,9 @@
 	sends []send
 	// health judges the endpoint by the gateway's own requests.
 	health health
+	// misdirected is the incarnation of an endpoint at whose address another one
+	// answered.
+	misdirected int64
 	// coldUntil is when the cold start of an incarnation ends.
 	coldUntil   time.Time
 	incarnation int64
@@ -93,14 +96,22 @@
 // endpoint.
 const usualDigestAge = 100 * time.Millisecond
 
-// fresh reports whether the loader's word counts for the endpoint.
-func (s *endpointState) fresh(endpoint *fleet.Endpoint, now time.Time) bool {
-	return now.Sub(s.statusAt) <= statusMaxAge && s.status.Incarnation >= endpoint.Incarnation
+// heard reports whether the loader's word is new enough to count.
+func (s *endpointState) heard(now time.Time) bool { return now.Sub(s.statusAt) <= statusMaxAge }
+
+// replaced reports whether another endpoint has taken the place of the one that the
+// entry describes: it answered that it is not the one, or its loader tells of a later
+// start.
+func (s *endpointState) replaced(endpoint *fleet.Endpoint, now time.Time) bool {
+	if s.misdirected == endpoint.Incarnation && s.misdirected != 0 {
+		return true
+	}
+	return s.heard(now) && s.status.Incarnation > endpoint.Incarnation && endpoint.Incarnation > 0
 }
 
 // version returns the version of a model that an endpoint serves now, 0 if none.
 func (s *endpointState) version(endpoint *fleet.Endpoint, model string, now time.Time) int64 {
-	if !s.fresh(endpoint, now) {
+	if !s.heard(now) || s.status.Incarnation != endpoint.Incarnation {
 		return endpoint.Version(model)
 	}
 	if s.status.Busy || !s.answering {
@@ -111,7 +122,7 @@
 
 // pace returns by how much slower than usual the endpoint is, 1 if it is not.
 func (s *endpointState) pace(endpoint *fleet.Endpoint, now time.Time) float64 {
-	if s.fresh(endpoint, now) && s.status.Pace > 1 {
+	if s.heard(now) && s.status.Incarnation == endpoint.Incarnation && s.status.Pace > 1 {
 		return s.status.Pace
 	}
 	return 1
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -53,7 +53,7 @@
 // SetEndpoints replaces the endpoints by those at a revision of the store.
 func (h *Holder) SetEndpoints(endpoints []Endpoint, revision int64) {
 	byService := map[string][]Endpoint{}
-	for _, endpoint := range endpoints {
+	for _, endpoint := range newestAtAddress(endpoints) {
 		byService[endpoint.Service] = append(byService[endpoint.Service], endpoint)
 	}
 	for _, list := range byService {
@@ -62,6 +62,19 @@
 	h.change(func(next *View) { next.endpoints, next.revision = byService, revision })
 }
 
+// newestAtAddress drops the endpoints whose address belongs to another one that started
+// later: one that restarted under a new ID has two entries for a while.
+func newestAtAddress(endpoints []Endpoint) map[string]Endpoint {
+	newest := make(map[string]Endpoint, len(endpoints))
+	for _, endpoint := range endpoints {
+		held, known := newest[endpoint.Address]
+		if !known || endpoint.Incarnation > held.Incarnation || (endpoint.Incarnation == held.Incarnation && endpoint.ID < held.ID) {
+			newest[endpoint.Address] = endpoint
+		}
+	}
+	return newest
+}
+
 // SetEvacuated replaces the availability zones that are out of service.
 func (h *Holder) SetEvacuated(zones map[string]bool) {
 	h.change(func(next *View) { next.evacuated = maps.Clone(zones) })
--- /dev/null
+++ b/internal/fleet/view_test.go
@@ -0,0 +1,30 @@
+package fleet_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/mimosaward/mimosaward/internal/fleet"
+)
+
+// An endpoint that restarted under a new ID has two entries until the old one expires.
+// Only the new one may be used: the other one's requests are refused.
+func TestNewestEndpointAtAnAddressCounts(t *testing.T) {
+	holder := fleet.NewHolder()
+	holder.SetEndpoints([]fleet.Endpoint{
+		{ID: "before", Incarnation: 1, Service: "drafts", Address: "10.0.0.1:80"},
+		{ID: "after", Incarnation: 2, Service: "drafts", Address: "10.0.0.1:80"},
+		{ID: "other", Incarnation: 1, Service: "drafts", Address: "10.0.0.2:80"},
+		{ID: "reused", Incarnation: 3, Service: "booking", Address: "10.0.0.2:80"},
+	}, 7)
+	var got []string
+	for _, service := range []string{"drafts", "booking"} {
+		for _, endpoint := range holder.View().Service(service) {
+			got = append(got, service+"/"+endpoint.ID)
+		}
+	}
+	if diff := cmp.Diff([]string{"drafts/after", "booking/reused"}, got); diff != "" {
+		t.Errorf("endpoints (-want +got):\n%s", diff)
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -28,7 +28,9 @@
 	ran bool
 	// sent is false if no byte of it left.
 	sent bool
-	err  error
+	// misdirected is true if another endpoint answered at the address.
+	misdirected bool
+	err         error
 }
 
 // start sends the request to an endpoint and waits for the header of the answer.
@@ -60,7 +62,10 @@
 	a.answer = platform.ReadAnswer(answered)
 	if a.answer.NotRun {
 		a.discard()
-		return nil, &failure{sent: true, err: errors.Newf("refused with status %d", a.answer.Status)}
+		return nil, &failure{
+			sent: true, misdirected: a.answer.Status == fasthttp.StatusMisdirectedRequest,
+			err: errors.Newf("refused with status %d", a.answer.Status),
+		}
 	}
 	return a, nil
 }
--- a/internal/gateway/plaincall.go
+++ b/internal/gateway/plaincall.go
@@ -11,8 +11,8 @@
 	"github.com/mimosaward/mimosaward/platform"
 )
 
-// maxUnsent bounds how often a request is offered to endpoints that cannot be
-// reached; these offers are no attempts.
+// maxUnsent bounds how often a request is offered to endpoints that cannot be reached or
+// are others than meant; these offers are no attempts.
 const maxUnsent = 4
 
 // servePlain answers a request of a plain service with the whole answer of an
@@ -73,7 +73,7 @@
 		grant.End()
 		f.logFailed(grant, failed, attempts+1)
 		last = f.note(grant, failed, last)
-		if failed.sent {
+		if failed.sent && !failed.misdirected {
 			attempts++
 		} else {
 			unsent++
@@ -83,7 +83,7 @@
 			return nil, last
 		case attempts >= f.route.MaxAttempts || unsent >= maxUnsent:
 			return nil, last
-		case failed.sent && attempts > 0 && !f.gateway.retries.Retry():
+		case failed.sent && !f.gateway.retries.Retry():
 			return nil, last
 		}
 	}
@@ -96,6 +96,9 @@
 	case failed.ran:
 		grant.Failed()
 		return unknown("endpointFailed")
+	case failed.misdirected:
+		grant.Misdirected()
+		return notRun(dispatch.NoEndpoint, startRetry)
 	case failed.sent:
 		grant.Refused()
 		return notRun(dispatch.Overloaded, startRetry)
