--- a/internal/command/hosted.go
+++ b/internal/command/hosted.go
@@ -7,6 +7,7 @@
 	"syscall"
 
 	"github.com/mimosaward/mimosaward/internal/deployment"
+	"github.com/mimosaward/mimosaward/internal/duty"
 	"github.com/mimosaward/mimosaward/internal/event"
 	"github.com/mimosaward/mimosaward/platform"
 )
@@ -24,10 +25,15 @@
 	if err != nil {
 		return Fail(streams, err)
 	}
-	log, err := event.NewLogger(streams.Out, "json", "info", where.Instance.Name)
+	direct, err := event.NewLogger(streams.Out, "json", "info", where.Instance.Name)
 	if err != nil {
 		return Fail(streams, err)
 	}
+	log := direct.Queued()
+	writing := duty.NewGroup(context.Background())
+	writing.Go(log.Run)
+	defer writing.Wait()
+	defer writing.Stop()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	signal.Ignore(syscall.SIGHUP)
--- a/internal/event/logger.go
+++ b/internal/event/logger.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/sirupsen/logrus"
 )
@@ -13,8 +14,13 @@
 // Logger writes numbered events. It is safe for concurrent use.
 type Logger struct {
 	entry *logrus.Entry
+	// queue is nil if records are written at once.
+	queue *queue
 }
 
+// timestampFormat has milliseconds, in which most decisions fall.
+const timestampFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // NewLogger returns a logger that writes to out in format "json" or "text".
 // Every record carries the instance name.
 func NewLogger(out io.Writer, format, level, instance string) (*Logger, error) {
@@ -27,7 +33,7 @@
 	base.SetLevel(parsed)
 	switch format {
 	case "json":
-		base.SetFormatter(&logrus.JSONFormatter{})
+		base.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timestampFormat})
 	case "text":
 		base.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
 	default:
@@ -44,10 +50,19 @@
 	return &Logger{entry: logrus.NewEntry(base)}
 }
 
-// Emit writes one record of the event.
+// Emit writes or queues one record of the event.
 func (l *Logger) Emit(e Event, fields Fields) {
 	if !l.entry.Logger.IsLevelEnabled(e.level) {
 		return
 	}
-	l.entry.WithFields(fields).WithField("event", e.number).Log(e.level, e.text)
+	next := record{event: e, fields: fields, at: time.Now()}
+	if l.queue != nil {
+		l.queue.offer(next)
+		return
+	}
+	l.write(next)
+}
+
+func (l *Logger) write(next record) {
+	l.entry.WithFields(next.fields).WithField("event", next.event.number).WithTime(next.at).Log(next.event.level, next.event.text)
 }
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -34,3 +34,14 @@
 		return none, ctx.Err()
 	}
 }
+
+// TryTake returns the next item without waiting, and false if there is none.
+func (r *Ring[T]) TryTake() (T, bool) {
+	select {
+	case item := <-r.slots:
+		return item, true
+	default:
+		var none T
+		return none, false
+	}
+}
