Serve metrics, reload changed settings, and give the hosted programs a command line

Cause: on-call engineers had logs only, a settings file that changed was read at the next start, and the hosted programs took no arguments (no check, no version).

Ruled out: serving the metrics beside the readiness address, whose port is the platform's; a watch on the file, which the platform's machines do not offer.

Not measured yet: the cost of collecting during an incident.

--- a/cmd/mimosaward-gateway/main.go
+++ b/cmd/mimosaward-gateway/main.go
@@ -6,21 +6,21 @@
 	"os"
 
 	"github.com/mimosaward/mimosaward/internal/command"
-	"github.com/mimosaward/mimosaward/internal/deployment"
-	"github.com/mimosaward/mimosaward/internal/event"
 	"github.com/mimosaward/mimosaward/internal/gateway"
 	"github.com/mimosaward/mimosaward/internal/sockets"
 )
 
 func main() {
 	program := &command.Hosted{
-		Run: func(ctx context.Context, where deployment.Deployment, log *event.Logger) error {
+		Name:        "mimosaward-gateway",
+		Description: "Serves callers on the users' platform: finds the endpoint for each request and relays its answer.",
+		Run: func(ctx context.Context, host command.Host) error {
 			running := &gateway.Gateway{
-				Deployment: where, Log: log, Listen: sockets.Listen, Dial: sockets.Dial, DialStore: sockets.DialSoon,
-				Left: sockets.Left, Stale: sockets.Stale,
+				Deployment: host.Deployment, Reload: host.Reload, Log: host.Log, Registry: host.Registry,
+				Listen: sockets.Listen, Dial: sockets.Dial, DialStore: sockets.DialSoon, Left: sockets.Left, Stale: sockets.Stale,
 			}
 			return running.Run(ctx)
 		},
 	}
-	os.Exit(program.Main(command.Streams{Out: os.Stdout, Err: os.Stderr}))
+	os.Exit(program.Main(os.Args[1:], command.Streams{Out: os.Stdout, Err: os.Stderr}))
 }
--- a/cmd/mimosaward-loader/main.go
+++ b/cmd/mimosaward-loader/main.go
@@ -6,20 +6,21 @@
 	"os"
 
 	"github.com/mimosaward/mimosaward/internal/command"
-	"github.com/mimosaward/mimosaward/internal/deployment"
-	"github.com/mimosaward/mimosaward/internal/event"
 	"github.com/mimosaward/mimosaward/internal/loader"
 	"github.com/mimosaward/mimosaward/internal/sockets"
 )
 
 func main() {
 	program := &command.Hosted{
-		Run: func(ctx context.Context, where deployment.Deployment, log *event.Logger) error {
+		Name:        "mimosaward-loader",
+		Description: "Brings weights to the engine on its instance.",
+		Run: func(ctx context.Context, host command.Host) error {
 			running := &loader.Loader{
-				Deployment: where, Log: log, Listen: sockets.Listen, Dial: sockets.DialSoon, DialControl: sockets.Dial,
+				Deployment: host.Deployment, Log: host.Log, Registry: host.Registry,
+				Listen: sockets.Listen, Dial: sockets.DialSoon, DialControl: sockets.Dial,
 			}
 			return running.Run(ctx)
 		},
 	}
-	os.Exit(program.Main(command.Streams{Out: os.Stdout, Err: os.Stderr}))
+	os.Exit(program.Main(os.Args[1:], command.Streams{Out: os.Stdout, Err: os.Stderr}))
 }
--- a/internal/command/hosted.go
+++ b/internal/command/hosted.go
@@ -2,9 +2,19 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
+	"net/http"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/mimosaward/mimosaward/internal/deployment"
 	"github.com/mimosaward/mimosaward/internal/duty"
@@ -12,19 +22,71 @@
 	"github.com/mimosaward/mimosaward/platform"
 )
 
+// HostedOptions are the options of a program that the users' platform starts.
+type HostedOptions struct {
+	Settings    string `long:"settings" short:"s" value-name:"FILE" description:"Settings file of the platform; by default the one that the environment names"`
+	MetricsPort int    `long:"metrics-port" value-name:"PORT" description:"Port of the instance that serves the metrics at /metrics"`
+	Check       bool   `long:"check" description:"Check the settings file and exit"`
+	Version     bool   `long:"version" description:"Print the version and exit"`
+	Completion  bool   `long:"completion" description:"Print a bash completion script and exit"`
+}
+
 // Hosted is a program that the users' platform starts: its settings file stands in
 // an environment variable.
 type Hosted struct {
+	Name        string
+	Description string
 	// Run serves until ctx ends, then drains.
-	Run func(ctx context.Context, where deployment.Deployment, log *event.Logger) error
+	Run func(ctx context.Context, host Host) error
+}
+
+// Host is what a hosted program gets.
+type Host struct {
+	Deployment deployment.Deployment
+	Log        *event.Logger
+	Registry   *prometheus.Registry
+	// Reload is sent a deployment each time the settings file changed.
+	Reload <-chan deployment.Deployment
 }
 
-// Main runs the program until SIGTERM or SIGINT and returns the exit status.
-func (h *Hosted) Main(streams Streams) int {
-	where, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+// Main parses the arguments, runs the program until SIGTERM or SIGINT, and returns the
+// exit status.
+func (h *Hosted) Main(args []string, streams Streams) int {
+	var options HostedOptions
+	parser := flags.NewNamedParser(h.Name, flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = h.Description
+	if _, err := parser.AddGroup("Options", "", &options); err != nil {
+		return Fail(streams, err)
+	}
+	if _, err := parser.ParseArgs(args); err != nil {
+		return usage(streams, err)
+	}
+	if options.Settings == "" {
+		options.Settings = os.Getenv(platform.SettingsVariable)
+	}
+	switch {
+	case options.Version:
+		_, _ = fmt.Fprintln(streams.Out, h.Name, Version())
+		return ExitDone
+	case options.Completion:
+		_, _ = fmt.Fprint(streams.Out, CompletionScript(h.Name))
+		return ExitDone
+	case options.Settings == "":
+		_, _ = fmt.Fprintf(streams.Err, "%s: no settings file; see %s --help\n", h.Name, h.Name)
+		return ExitUsage
+	}
+	return h.start(options, streams)
+}
+
+func (h *Hosted) start(options HostedOptions, streams Streams) int {
+	where, err := platform.LoadSettings(options.Settings)
 	if err != nil {
 		return Fail(streams, err)
 	}
+	if options.Check {
+		_, _ = fmt.Fprintf(streams.Out, "%s: ok\n", options.Settings)
+		return ExitDone
+	}
 	direct, err := event.NewLogger(streams.Out, "json", "info", where.Instance.Name)
 	if err != nil {
 		return Fail(streams, err)
@@ -36,9 +98,43 @@
 	defer writing.Stop()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	signal.Ignore(syscall.SIGHUP)
-	if err := h.Run(ctx, where, log); err != nil {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector())
+	watch := &settingsWatch{file: options.Settings, log: log, changed: make(chan deployment.Deployment, 1)}
+	duties := duty.NewGroup(ctx)
+	duties.Go(watch.run)
+	if options.MetricsPort > 0 {
+		address := net.JoinHostPort(where.Instance.IP, strconv.Itoa(options.MetricsPort))
+		duties.Go(func(ctx context.Context) { serveMetrics(ctx, address, registry, log) })
+	}
+	err = h.Run(ctx, Host{Deployment: where, Log: log, Registry: registry, Reload: watch.changed})
+	duties.Stop()
+	duties.Wait()
+	if err != nil {
+		log.Emit(event.ServerFailed, event.Fields{"error": err.Error()})
 		return Fail(streams, err)
 	}
+	log.Emit(event.ProcessStopped, event.Fields{})
 	return ExitDone
 }
+
+// metricsTimeout bounds a question for metrics.
+const metricsTimeout = 2 * time.Second
+
+// serveMetrics serves the metrics until ctx ends. A process goes on without them if
+// their port is taken.
+func serveMetrics(ctx context.Context, address string, registry *prometheus.Registry, log *event.Logger) {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	server := &http.Server{Addr: address, Handler: mux, ReadHeaderTimeout: metricsTimeout, WriteTimeout: metricsTimeout}
+	group := duty.NewGroup(ctx)
+	group.Go(func(ctx context.Context) {
+		<-ctx.Done()
+		_ = server.Close()
+	})
+	if err := server.ListenAndServe(); err != nil && ctx.Err() == nil {
+		log.Emit(event.ServerFailed, event.Fields{"address": address, "error": err.Error()})
+	}
+	group.Stop()
+	group.Wait()
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/mimosaward/mimosaward/internal/configuration"
-	"github.com/mimosaward/mimosaward/internal/deployment"
 	"github.com/mimosaward/mimosaward/internal/engine"
 	"github.com/mimosaward/mimosaward/internal/fleet"
 	"github.com/mimosaward/mimosaward/internal/peering"
@@ -25,7 +24,6 @@
 	// Region and AvailabilityZone are those of the gateway.
 	Region           string
 	AvailabilityZone string
-	Cold             deployment.Cold
 	// View returns the endpoints, Service describes a service.
 	View    func() *fleet.View
 	Service func(name string) (*configuration.Service, bool)
--- /dev/null
+++ b/internal/dispatch/knowledge.go
@@ -0,0 +1,36 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Knowledge is what a dispatcher knows about an endpoint.
+type Knowledge struct {
+	ID      string
+	Running int
+	Unread  int
+	// FailureShare is the recent share of requests that the endpoint failed.
+	FailureShare float64
+	// StatusAge is the age of what the engine's loader said; 0 if it never did.
+	StatusAge time.Duration
+}
+
+// Endpoints returns what is known about each endpoint, ordered by ID.
+func (d *Dispatcher) Endpoints() []Knowledge {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	list := make([]Knowledge, 0, len(d.endpoints))
+	for id, held := range d.endpoints {
+		known := Knowledge{ID: id, FailureShare: held.health.share(now)}
+		known.Running, known.Unread, _ = held.load(now, d.shares)
+		if !held.statusAt.IsZero() {
+			known.StatusAge = now.Sub(held.statusAt)
+		}
+		list = append(list, known)
+	}
+	slices.SortFunc(list, func(a, b Knowledge) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/valyala/fasthttp"
 
 	"github.com/mimosaward/mimosaward/internal/configuration"
@@ -45,10 +46,14 @@
 // Gateway serves callers. Set the exported fields before Run.
 type Gateway struct {
 	Deployment deployment.Deployment
-	Log        *event.Logger
-	Listen     func(address string) (net.Listener, error)
-	Dial       func(ctx context.Context, address string) (net.Conn, error)
-	DialStore  func(address string) (net.Conn, error)
+	// Reload is sent a deployment each time the settings changed; of it the bounds come
+	// into force.
+	Reload    <-chan deployment.Deployment
+	Log       *event.Logger
+	Registry  prometheus.Registerer
+	Listen    func(address string) (net.Listener, error)
+	Dial      func(ctx context.Context, address string) (net.Conn, error)
+	DialStore func(address string) (net.Conn, error)
 	// Left reports whether the other side closed a connection.
 	Left func(net.Conn) bool
 	// Stale reports whether an idle connection was closed or holds bytes.
@@ -58,6 +63,8 @@
 	dispatcher *dispatch.Dispatcher
 	pool       *connection.Pool
 	retries    *retry.Budget
+	bounds     atomic.Pointer[deployment.Bounds]
+	meter      *gatewayMeter
 	flights    flights
 	patiences  patiences
 	store      *platform.Store
@@ -82,6 +89,7 @@
 	group.Go(g.register)
 	group.Go(g.followEngines)
 	group.Go(g.keepHistory)
+	group.Go(g.applySettings)
 	group.Go(g.peering.Run)
 	group.Go(g.peering.KeepUp)
 	group.Every(leaverInterval, func(context.Context) { g.flights.cancelLeft(g.Left) })
@@ -116,6 +124,7 @@
 // prepare builds the parts and listens for the other gateways.
 func (g *Gateway) prepare() (net.Listener, error) {
 	own := g.Deployment.Instance
+	g.bounds.Store(&g.Deployment.Bounds)
 	g.self = peering.Member{
 		Name: own.Name, AvailabilityZone: own.AvailabilityZone, Region: own.Region,
 		Callers: g.Deployment.Listen.Callers, Control: g.Deployment.Listen.Control, Incarnation: time.Now().UnixMilli(),
@@ -126,7 +135,7 @@
 	copies := g.observer.Informers()
 	g.observer.Follow(gatewayKind, g.applyMembers)
 	g.dispatcher = &dispatch.Dispatcher{
-		Region: own.Region, AvailabilityZone: own.AvailabilityZone, Cold: g.Deployment.Bounds.Cold,
+		Region: own.Region, AvailabilityZone: own.AvailabilityZone,
 		View: g.observer.Fleet, Service: g.describeService, Demanded: g.demandedVersion,
 		Others: g.table.Alive,
 	}
@@ -140,6 +149,8 @@
 	}
 	g.pool = &connection.Pool{Dial: g.Dial, Stale: g.Stale}
 	g.retries = &retry.Budget{Percent: 15}
+	g.meter = newGatewayMeter(g.Registry)
+	g.registerGauges(g.Registry)
 	g.server = control.NewServer()
 	if err := g.peering.Register(g.server); err != nil {
 		return nil, err
@@ -174,6 +185,18 @@
 // Printf implements fasthttp.Logger.
 func (silent) Printf(string, ...any) {}
 
+// applySettings puts the bounds of changed settings in force.
+func (g *Gateway) applySettings(ctx context.Context) {
+	for {
+		select {
+		case next := <-g.Reload:
+			g.bounds.Store(&next.Bounds)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // drainPoll is how often a drain looks for the end of the requests in flight.
 const drainPoll = 50 * time.Millisecond
 
@@ -181,7 +204,7 @@
 func (g *Gateway) drain() {
 	g.stopping.Store(true)
 	g.Log.Emit(event.DrainStarted, event.Fields{"inFlight": g.flights.count()})
-	end := time.Now().Add(g.Deployment.Bounds.Grace - time.Second)
+	end := time.Now().Add(g.bounds.Load().Grace - time.Second)
 	quiet := time.Now().Add(4 * time.Second)
 	for time.Now().Before(end) {
 		if time.Now().After(quiet) && g.flights.count() == 0 {
--- a/internal/gateway/journal.go
+++ b/internal/gateway/journal.go
@@ -1,8 +1,12 @@
 package gateway
 
 import (
+	"io"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
 	"github.com/mimosaward/mimosaward/internal/dispatch"
 	"github.com/mimosaward/mimosaward/internal/event"
 )
@@ -20,6 +24,7 @@
 
 // logFailed tells how an attempt failed.
 func (f *flight) logFailed(grant *dispatch.Grant, failed *failure, attempt int) {
+	f.gateway.meter.attempted(grant, failed.result())
 	f.gateway.Log.Emit(event.AttemptFailed, event.Fields{
 		"request": f.call.ID, "endpoint": grant.Endpoint.ID, "attempt": attempt, "ran": failed.ran, "sent": failed.sent,
 		"error": errorText(failed.err), "afterMs": time.Since(f.arrived).Milliseconds(),
@@ -28,6 +33,7 @@
 
 // logEnded tells how the request ended.
 func (f *flight) logEnded(status int, firstAfter time.Duration, err error) {
+	f.gateway.meter.ended(f, f.outcome(status, err), firstAfter)
 	f.gateway.Log.Emit(event.RequestEnded, event.Fields{
 		"request": f.call.ID, "status": status, "firstMs": firstAfter.Milliseconds(), "tookMs": time.Since(f.arrived).Milliseconds(),
 		"error": errorText(err), "callerLeft": f.ctx.Err() != nil,
@@ -36,6 +42,7 @@
 
 // logRefused tells why the gateway did not serve the request.
 func (f *flight) logRefused(what *refusal) {
+	f.gateway.meter.refused(f, what.reason)
 	route := ""
 	if f.route != nil {
 		route = f.route.Name
@@ -47,6 +54,32 @@
 	})
 }
 
+// outcome says how a request that was sent ended. A stream ends with io.EOF.
+func (f *flight) outcome(status int, err error) string {
+	switch {
+	case f.ctx.Err() != nil:
+		return outcomeLeft
+	case status >= fasthttp.StatusInternalServerError || (err != nil && !errors.Is(err, io.EOF)):
+		return outcomeFailed
+	default:
+		return outcomeServed
+	}
+}
+
+// result names how the attempt failed, for the metrics.
+func (f *failure) result() string {
+	switch {
+	case f.misdirected:
+		return attemptMisdirected
+	case f.ran:
+		return attemptFailed
+	case f.sent:
+		return attemptRefused
+	default:
+		return attemptUnsent
+	}
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- a/internal/gateway/plaincall.go
+++ b/internal/gateway/plaincall.go
@@ -59,6 +59,7 @@
 		f.logSent(grant, attempts+1)
 		got, failed := f.start(grant, f.forwarding(grant), f.route.Kind == configuration.OnceOnly)
 		if failed == nil && !f.worthRetry(got) {
+			f.gateway.meter.attempted(grant, attemptAnswered)
 			return got, nil
 		}
 		if failed == nil {
--- a/internal/loader/load.go
+++ b/internal/loader/load.go
@@ -83,6 +83,7 @@
 	version := versionOf(manifest)
 	fields := event.Fields{"model": manifest.Model, "version": version}
 	before, result, err := l.order(ctx, manifest)
+	l.meter.loads.WithLabelValues(result.String()).Inc()
 	if err != nil {
 		fields["error"], fields["result"] = err.Error(), result.String()
 		l.Log.Emit(event.LoadFailed, fields)
@@ -158,6 +159,7 @@
 		}
 		l.status.set(status, true)
 		if status.Version(manifest.Model) == versionOf(manifest) {
+			l.meter.loadTime.Observe(time.Since(start).Seconds())
 			l.Log.Emit(event.LoadDone, event.Fields{"model": manifest.Model, "version": versionOf(manifest), "tookMs": time.Since(start).Milliseconds()})
 			return
 		}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/gofiber/fiber/v3"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/valyala/fasthttp"
 
 	"github.com/mimosaward/mimosaward/internal/carrier"
@@ -42,6 +43,7 @@
 type Loader struct {
 	Deployment deployment.Deployment
 	Log        *event.Logger
+	Registry   prometheus.Registerer
 	Listen     func(address string) (net.Listener, error)
 	// Dial connects to another process, DialControl to a gateway.
 	Dial        func(address string) (net.Conn, error)
@@ -52,6 +54,7 @@
 	store   *weights.Store
 	fetcher *exchange.Fetcher
 	carrier *carrier.Carrier
+	meter   *loaderMeter
 	started time.Time
 	control *control.Client
 	plans   *planBoard
@@ -111,6 +114,8 @@
 
 func (l *Loader) prepare() {
 	l.started = time.Now()
+	l.meter = newLoaderMeter(l.Registry)
+	l.registerGauges(l.Registry)
 	l.plans = newPlanBoard()
 	l.control = &control.Client{Dial: l.DialControl}
 	l.originTurn.Slots = originInFlight
@@ -123,7 +128,7 @@
 		Serve: func(ctx context.Context, request exchange.Request) (exchange.Answer, error) {
 			return l.fetcher.Serve(ctx, request)
 		},
-		OnReceived: func() {},
+		OnReceived: func() { l.meter.chunks.WithLabelValues(sourceInstance).Inc() },
 	}).Open()
 	l.fetcher = &exchange.Fetcher{
 		Self: l.self(), FanOut: fanOut, Store: l.store, Log: l.Log, Timing: exchange.SecondTiming(),
--- /dev/null
+++ b/internal/loader/meter.go
@@ -0,0 +1,64 @@
+package loader
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// loaderMeter counts what the loader does.
+type loaderMeter struct {
+	chunks    *prometheus.CounterVec
+	loads     *prometheus.CounterVec
+	fetchTime prometheus.Histogram
+	loadTime  prometheus.Histogram
+}
+
+// The sources of chunks.
+const (
+	sourceInstance = "instance"
+	sourceOrigin   = "origin"
+	sourceEngine   = "engine"
+)
+
+func newLoaderMeter(registry prometheus.Registerer) *loaderMeter {
+	m := &loaderMeter{
+		chunks: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "mimosaward_loader_chunks_total", Help: "Chunks received, by kind of source.",
+		}, []string{"source"}),
+		loads: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "mimosaward_loader_orders_total", Help: "Orders to load, by result.",
+		}, []string{"result"}),
+		fetchTime: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "mimosaward_loader_fetch_seconds", Help: "Time to fetch a set of weights.",
+			Buckets: prometheus.ExponentialBuckets(0.1, 1.6, 12),
+		}),
+		loadTime: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "mimosaward_loader_load_seconds", Help: "Time from an order to the engine serving the weights.",
+			Buckets: prometheus.ExponentialBuckets(0.1, 1.6, 12),
+		}),
+	}
+	registry.MustRegister(m.chunks, m.loads, m.fetchTime, m.loadTime)
+	return m
+}
+
+// registerGauges adds the values that are read when somebody asks for them.
+func (l *Loader) registerGauges(registry prometheus.Registerer) {
+	gauge := func(name, help string, value func() float64) {
+		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+	}
+	gauge("mimosaward_loader_served_version", "Version that the engine serves, 0 if none.", func() float64 {
+		plan, _ := l.plans.current()
+		status := l.status.current().Status
+		return float64(status.Version(plan.Model.Model))
+	})
+	gauge("mimosaward_loader_wanted_version", "Version that the operators want, 0 if they named none.", func() float64 {
+		plan, _ := l.plans.current()
+		return float64(plan.Wanted.Version)
+	})
+	gauge("mimosaward_loader_chunk_bytes", "Memory that chunks use.", func() float64 { return float64(l.store.Used()) })
+	gauge("mimosaward_loader_engine_answering", "1 while the engine answers.", func() float64 {
+		if l.status.current().Answering {
+			return 1
+		}
+		return 0
+	})
+}
--- a/internal/loader/origin.go
+++ b/internal/loader/origin.go
@@ -111,7 +111,11 @@
 		return nil, err
 	}
 	defer l.originTurn.Give()
-	return l.origin.Chunk(ctx, plan.Model.Origin, at.model, at.version, at.chunk)
+	data, err := l.origin.Chunk(ctx, plan.Model.Origin, at.model, at.version, at.chunk)
+	if err == nil {
+		l.meter.chunks.WithLabelValues(sourceOrigin).Inc()
+	}
+	return data, err
 }
 
 // homeRegion returns the region that the origin's link ends in.
--- a/internal/loader/supply.go
+++ b/internal/loader/supply.go
@@ -80,6 +80,7 @@
 		return err
 	}
 	l.sets.add(wanted.version, manifest)
+	l.meter.fetchTime.Observe(time.Since(start).Seconds())
 	l.Log.Emit(event.SetComplete, event.Fields{
 		"model": wanted.model, "version": versionOf(manifest), "tookMs": time.Since(start).Milliseconds(), "fromEngine": staged,
 	})
@@ -211,6 +212,7 @@
 			return taken
 		}
 		if l.store.Put(chunk, data) == nil {
+			l.meter.chunks.WithLabelValues(sourceEngine).Inc()
 			taken++
 		}
 	}
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -41,6 +41,14 @@
 	return true
 }
 
+// Credit returns the number of retries that are allowed now.
+func (b *Budget) Credit() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.begin()
+	return b.credit
+}
+
 func (b *Budget) begin() {
 	if !b.begun {
 		b.begun = true
