Replace kept connections that the other side closed, instead of charging the peer

Cause: servers and clients of chunks both closed idle connections after 10 s, so requests crossed the close; each one excluded a sound peer for 500 ms and sent its children to the origin.

Ruled out: differing member lists (the duplicates stand next to exclusions in time), the rescue of overdue chunks (all within 1.5 s).

Now servers keep connections three times as long, and a GET is sent again if its connection turns out to be closed; nothing else is repeated.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -38,7 +38,7 @@
 
 // Open prepares the carrier.
 func (r *Carrier) Open() *Carrier {
-	r.peers = (&upstream.Client{Dial: r.Dial, FirstByteTimeout: r.Timeout, IdleTimeout: r.Timeout}).Open()
+	r.peers = (&upstream.Client{Dial: r.Dial, FirstByteTimeout: r.Timeout, IdleTimeout: r.Timeout, Repeat: true}).Open()
 	r.up, r.down = &pace.Link{Rate: r.LinkRate}, &pace.Link{Rate: r.LinkRate}
 	return r
 }
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -24,6 +24,7 @@
 	"github.com/mimosaward/mimosaward/internal/observer"
 	"github.com/mimosaward/mimosaward/internal/roster"
 	"github.com/mimosaward/mimosaward/internal/size"
+	"github.com/mimosaward/mimosaward/internal/upstream"
 	"github.com/mimosaward/mimosaward/internal/weights"
 	"github.com/mimosaward/mimosaward/platform"
 )
@@ -105,8 +106,9 @@
 	return nil
 }
 
-// peerIdle is how long an idle connection of another instance is kept.
-const peerIdle = 10 * time.Second
+// peerIdle is how long an idle connection of another instance is kept: longer than the
+// other side keeps it, so that no request crosses the close.
+const peerIdle = 3 * upstream.MaxIdle
 
 func (l *Loader) ownAddress(port int) string {
 	return net.JoinHostPort(l.Deployment.Instance.IP, strconv.Itoa(port))
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -1,6 +1,6 @@
 // Package upstream makes HTTP requests to the next hop: from an entry to an
 // agent, and from an agent to its endpoint or to another agent. It tells
-// whether a failed request can have run, and never repeats one by itself.
+// whether a failed request can have run, and repeats none unless it is told to.
 package upstream
 
 import (
@@ -28,8 +28,11 @@
 	// hold.
 	maxBodyBytes    = 16 << 20
 	maxLineBytes    = 1 << 20
-	maxIdleDuration = 10 * time.Second
 	readBufferBytes = 16 << 10
+
+	// MaxIdle is how long a connection is kept without a request. Servers must keep
+	// theirs for longer.
+	MaxIdle = 10 * time.Second
 )
 
 // Client makes requests. Set the exported fields before the first call; the
@@ -45,6 +48,9 @@
 	// connection that the next hop closed meanwhile is never mistaken for a
 	// request that may have run.
 	FreshConnections bool
+	// Repeat allows GET requests to be sent again if their connection turns out to
+	// be closed.
+	Repeat bool
 
 	client *fasthttp.Client
 }
@@ -55,12 +61,15 @@
 		Dial:                      c.dial,
 		MaxIdemponentCallAttempts: 1,
 		MaxConnsPerHost:           4096,
-		MaxIdleConnDuration:       maxIdleDuration,
+		MaxIdleConnDuration:       MaxIdle,
 		MaxResponseBodySize:       maxBodyBytes,
 		ReadBufferSize:            readBufferBytes,
 		StreamResponseBody:        true,
 		NoDefaultUserAgentHeader:  true,
 	}
+	if c.Repeat {
+		c.client.MaxIdemponentCallAttempts, c.client.RetryIfErr = MaxAttempts, RepeatClosed
+	}
 	return c
 }
 
--- /dev/null
+++ b/internal/upstream/retry_test.go
@@ -0,0 +1,94 @@
+package upstream_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/mimosaward/mimosaward/internal/duty"
+	"github.com/mimosaward/mimosaward/internal/upstream"
+)
+
+// keptConn tells when a server has closed it.
+type keptConn struct {
+	net.Conn
+	closed chan struct{}
+}
+
+// Close implements net.Conn.
+func (c *keptConn) Close() error {
+	err := c.Conn.Close()
+	select {
+	case <-c.closed:
+	default:
+		close(c.closed)
+	}
+	return err
+}
+
+// closingListener hands out connections that tell when they are closed.
+type closingListener struct {
+	net.Listener
+	accepted chan *keptConn
+}
+
+// Accept implements net.Listener.
+func (l *closingListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	kept := &keptConn{Conn: accepted, closed: make(chan struct{})}
+	l.accepted <- kept
+	return kept, nil
+}
+
+// A server that closed a kept connection, after its idle timeout or because it
+// restarted, must not count as one that failed.
+func TestClosedKeptConnectionIsReplaced(t *testing.T) {
+	for name, want := range map[string]struct {
+		method  string
+		repeat  bool
+		succeed bool
+	}{
+		"repeatable": {method: fasthttp.MethodGet, repeat: true, succeed: true},
+		"not told":   {method: fasthttp.MethodGet},
+		"not a GET":  {method: fasthttp.MethodPost, repeat: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			loopback, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			listener := &closingListener{Listener: loopback, accepted: make(chan *keptConn, 2)}
+			server := &fasthttp.Server{Handler: func(*fasthttp.RequestCtx) {}, IdleTimeout: time.Millisecond}
+			group := duty.NewGroup(t.Context())
+			group.Go(func(context.Context) { _ = server.Serve(listener) })
+			client := (&upstream.Client{
+				Dial:             func(string) (net.Conn, error) { return net.Dial("tcp4", loopback.Addr().String()) },
+				FirstByteTimeout: time.Minute, IdleTimeout: time.Minute, Repeat: want.repeat,
+			}).Open()
+			defer func() {
+				client.Close()
+				_ = listener.Close()
+				group.Wait()
+			}()
+			first, err := client.Do(upstream.Request{Method: fasthttp.MethodGet, URL: "http://peer/"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			first.Close()
+			<-(<-listener.accepted).closed
+			second, err := client.Do(upstream.Request{Method: want.method, URL: "http://peer/"})
+			if err == nil {
+				second.Close()
+			}
+			if (err == nil) != want.succeed {
+				t.Errorf("second request: got %v, want success: %t", err, want.succeed)
+			}
+		})
+	}
+}
