Let loaders wait for a whole plan, and give up connections before they are repeated

Gateways told loaders a plan as soon as they had a configuration, so some looked for the newest version by themselves and noticed the named one only after they had its manifest (1 to 2 s); an opening packet to an instance that was just starting was repeated after a second, and everybody below it in the manifest's tree waited for that.

Ruled out: the pace of links (0.15 s in the model), the origin's link (32 chunks a second while it was asked).

Now a plan needs endpoints and versions, a replaced goal is left at any time, and a connection is given up after 300 ms.

--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -33,6 +33,10 @@
 // none.
 func (v *View) Wanted(model string) int64 { return v.wanted[model] }
 
+// Complete reports whether the endpoints and the wanted versions were read, so that what
+// is missing in the view does not exist.
+func (v *View) Complete() bool { return v.revision > 0 && v.wanted != nil }
+
 // Holder holds the newest view. It is safe for concurrent use.
 type Holder struct {
 	current atomic.Pointer[View]
--- a/internal/loader/manifest.go
+++ b/internal/loader/manifest.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	// manifestPeerTries is how often another instance is asked for a manifest before
-	// the origin is.
-	manifestPeerTries = 8
+	// manifestPeerWait is how long another instance is asked for a manifest before the
+	// origin is: several times what the way through the tree takes.
+	manifestPeerWait = 400 * time.Millisecond
 	// manifestPause is the pause between two tries, about the time in which the
 	// instance above gets it.
 	manifestPause = 50 * time.Millisecond
@@ -33,8 +33,9 @@
 // manifestOf returns the manifest of the wanted weights.
 func (l *Loader) manifestOf(ctx context.Context, wanted goal) (*weights.Manifest, error) {
 	var last error
+	start := time.Now()
 	for try := 0; ctx.Err() == nil; try++ {
-		manifest, err := l.readManifest(ctx, wanted, try)
+		manifest, err := l.readManifest(ctx, wanted, time.Since(start) < manifestPeerWait)
 		if err == nil {
 			return manifest, nil
 		}
@@ -47,13 +48,12 @@
 	return nil, errors.CombineErrors(ctx.Err(), last)
 }
 
-// readManifest asks the instance above in a tree over the members, and after several
-// tries the origin.
-func (l *Loader) readManifest(ctx context.Context, wanted goal, try int) (*weights.Manifest, error) {
+// readManifest asks the instance above in a tree over the members, or the origin.
+func (l *Loader) readManifest(ctx context.Context, wanted goal, fromPeer bool) (*weights.Manifest, error) {
 	key := manifestKey(wanted)
 	plan, _ := l.plans.current()
 	parent, hasParent := carrier.Parent(key, l.self().Name, instances(plan.Members.Instances, everyMember))
-	if hasParent && try < manifestPeerTries {
+	if hasParent && fromPeer {
 		text, err := l.carrier.FetchManifest(ctx, key, parent)
 		if err != nil {
 			return nil, err
--- a/internal/loader/observe.go
+++ b/internal/loader/observe.go
@@ -25,11 +25,13 @@
 	planFromStore = 200 * time.Millisecond
 )
 
-// NewPlan derives the plan of the loaders of a service. Named is when the wanted
-// version became known, revision that of the endpoints.
+// NewPlan derives the plan of the loaders of a service, and returns false before all that
+// it depends on is known: a loader that does not know the wanted version or its
+// neighbours would ask the origin for what nobody needs. Named is when the wanted version
+// became known.
 func NewPlan(current *configuration.Configuration, view *fleet.View, service string, ports deployment.Ports, named func(model string, version int64) time.Time) (Plan, bool) {
 	described, known := current.Service(service)
-	if !known || described.Engine == nil || len(described.Engine.Models) == 0 {
+	if !known || described.Engine == nil || len(described.Engine.Models) == 0 || !view.Complete() {
 		return Plan{}, false
 	}
 	model := described.Engine.Models[0]
--- a/internal/loader/supply.go
+++ b/internal/loader/supply.go
@@ -55,25 +55,18 @@
 	l.Log.Emit(event.RolloutStarted, event.Fields{"model": wanted.model, "version": wanted.version})
 	fetching, cancel := context.WithCancel(ctx)
 	defer cancel()
-	manifest, err := l.manifestOf(fetching, wanted)
-	if err != nil {
-		return err
-	}
-	if err := l.pin(manifest); err != nil {
-		return err
-	}
-	staged := l.takeOverStaged(fetching, manifest)
 	watch := duty.NewGroup(fetching)
 	watch.Go(func(ctx context.Context) { l.cancelWhenReplaced(ctx, wanted, cancel) })
-	plan, _ := l.plans.current()
-	named := l.plans.namedAt(wanted.version)
-	l.fetcher.Late = !named.IsZero() && l.started.Sub(named) > lateAfter
-	err = l.fetcher.Fetch(fetching, manifest, l.arrange(plan, versionOf(manifest)))
+	manifest, staged, err := l.collect(fetching, wanted)
 	replaced := fetching.Err() != nil && ctx.Err() == nil
 	watch.Stop()
 	watch.Wait()
 	if replaced {
-		l.Log.Emit(event.RolloutAbandoned, event.Fields{"model": wanted.model, "version": wanted.version, "missing": l.store.Missing(manifest)})
+		fields := event.Fields{"model": wanted.model, "version": wanted.version}
+		if manifest != nil {
+			fields["missing"] = l.store.Missing(manifest)
+		}
+		l.Log.Emit(event.RolloutAbandoned, fields)
 		return nil
 	}
 	if err != nil {
@@ -87,6 +80,23 @@
 	return nil
 }
 
+// collect returns the manifest of the wanted set once each of its chunks is held, and how
+// many of them the engine had staged.
+func (l *Loader) collect(ctx context.Context, wanted goal) (manifest *weights.Manifest, staged int, err error) {
+	manifest, err = l.manifestOf(ctx, wanted)
+	if err != nil {
+		return nil, 0, err
+	}
+	if err := l.pin(manifest); err != nil {
+		return manifest, 0, err
+	}
+	staged = l.takeOverStaged(ctx, manifest)
+	plan, _ := l.plans.current()
+	named := l.plans.namedAt(wanted.version)
+	l.fetcher.Late = !named.IsZero() && l.started.Sub(named) > lateAfter
+	return manifest, staged, l.fetcher.Fetch(ctx, manifest, l.arrange(plan, versionOf(manifest)))
+}
+
 // cancelWhenReplaced ends the work for a goal that a newer one replaced, once it is not
 // worth finishing. Every instance decides by the same times, so that they go on to the
 // newer one together.
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -39,10 +39,12 @@
 	return dialer.DialContext(ctx, "tcp4", address)
 }
 
-// dialSoonTimeout is how long DialSoon tries.
-const dialSoonTimeout = time.Second
+// dialSoonTimeout is how long DialSoon tries. The longest way takes some milliseconds; a
+// lost opening packet, as to an instance that is just starting, is repeated only after a
+// second, and a new try is quicker.
+const dialSoonTimeout = 300 * time.Millisecond
 
-// DialSoon connects to an address within a second.
+// DialSoon connects to an address, or gives up soon.
 func DialSoon(address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialSoonTimeout)
 	defer cancel()
