List a kind again after its watch was cut

Ruled out: the gateways' exchange of copies (all had the same old copy).

A watch that was cut is never repeated, and the kind is listed before the next one.

--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -110,6 +110,8 @@
 			continue
 		}
 		i.noteLost(err)
+		// A watch that was cut may have missed changes, and the next one too.
+		i.forgetRevision()
 		duty.Sleep(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
@@ -136,7 +138,7 @@
 }
 
 // forgetRevision makes the next step list the kind again. The copy stays in use
-// until then.
+// until then, and a list that is older than the copy changes nothing.
 func (i *Informer) forgetRevision() {
 	i.mu.Lock()
 	defer i.mu.Unlock()
