Give every engine an owner among the gateways, who lends it out

Cause: on the grown site 12 gateways sent to 76 engines, each with a view of the others.

Now the gateways deal the engines out, by availability zone; each prefers its own, whose load it knows exactly, and an engine's free places are lent to one other gateway at a time, first to those whose requests wait. Digests name the borrower.

Package experiment drives dispatchers against emulated engines; each pattern of load is a test without network.

--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -41,6 +41,8 @@
 	running int
 	unread  int
 	heard   time.Time
+	// lentTo names the gateway that may send there besides the owner.
+	lentTo string
 }
 
 // send is a request that the gateway sent.
@@ -92,6 +94,12 @@
 	return running, unread, age
 }
 
+// lentBy reports whether the owner lends the endpoint to the gateway.
+func (s *endpointState) lentBy(owner, self string, now time.Time) bool {
+	told := s.others[owner]
+	return told.lentTo == self && now.Sub(told.heard) <= lentMaxAge
+}
+
 // usualDigestAge is how old the digest of a gateway is that told of no request at an
 // endpoint.
 const usualDigestAge = 100 * time.Millisecond
--- /dev/null
+++ b/internal/dispatch/grant.go
@@ -0,0 +1,95 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/mimosaward/mimosaward/internal/fleet"
+)
+
+// Grant is the permission to send a job to an endpoint. End must be called.
+type Grant struct {
+	Endpoint fleet.Endpoint
+	// Version is the version of the model that must answer; 0 means that none is
+	// demanded.
+	Version int64
+	// Facts are what the decision was made on.
+	Facts Facts
+
+	dispatcher *Dispatcher
+	state      *endpointState
+	job        *Job
+	unread     bool
+	ended      bool
+}
+
+// Facts are what a decision was made on.
+type Facts struct {
+	// Running is the number of requests at the endpoint, those of this gateway and
+	// of others; Unread the prompt tokens of them that were not answered yet.
+	Running int
+	Unread  int
+	// OthersAge is the age of the oldest digest that counted.
+	OthersAge time.Duration
+	// Expected is the predicted time to the first event or the answer.
+	Expected time.Duration
+	// Waited is how long the job waited for the endpoint.
+	Waited time.Duration
+	// Owned is true if the gateway owns the endpoint, false if it was lent or is shared.
+	Owned bool
+	// Candidates is the number of endpoints that could take the job.
+	Candidates int
+}
+
+// Answered notes that the endpoint began to answer.
+func (g *Grant) Answered() {
+	g.note(func(now time.Time) {
+		g.read()
+		g.state.health.succeeded(now)
+	})
+}
+
+// Failed notes that the endpoint did not answer as it should.
+func (g *Grant) Failed() { g.note(func(now time.Time) { g.state.health.failed(now) }) }
+
+// Erred notes that the endpoint answered with a failure of its own.
+func (g *Grant) Erred() { g.note(func(now time.Time) { g.state.health.erred(now) }) }
+
+// Refused notes that the endpoint did not take the request.
+func (g *Grant) Refused() { g.note(func(now time.Time) { g.state.health.refused(now) }) }
+
+// Misdirected notes that another endpoint answers at the endpoint's address.
+func (g *Grant) Misdirected() {
+	g.note(func(now time.Time) {
+		g.state.misdirected = g.Endpoint.Incarnation
+		if g.Endpoint.Incarnation == 0 {
+			g.state.health.failed(now)
+		}
+	})
+}
+
+// End gives the endpoint's place back.
+func (g *Grant) End() {
+	g.note(func(now time.Time) {
+		if g.ended {
+			return
+		}
+		g.ended = true
+		g.read()
+		g.state.running--
+		g.dispatcher.serveAt(g.job.Service, g.Endpoint.ID, now)
+	})
+}
+
+// read takes the job's prompt off the unread tokens.
+func (g *Grant) read() {
+	if g.unread {
+		g.unread = false
+		g.state.unread -= g.job.PromptTokens
+	}
+}
+
+func (g *Grant) note(change func(now time.Time)) {
+	g.dispatcher.mu.Lock()
+	defer g.dispatcher.mu.Unlock()
+	change(time.Now())
+}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/mimosaward/mimosaward/internal/fleet"
 )
 
 // Job is a request that looks for an endpoint. It must not be changed while it
@@ -60,35 +58,3 @@
 	// CallerLeft means that the caller left while the job waited.
 	CallerLeft Reason = "callerLeft"
 )
-
-// Grant is the permission to send a job to an endpoint. End must be called.
-type Grant struct {
-	Endpoint fleet.Endpoint
-	// Version is the version of the model that must answer; 0 means that none is
-	// demanded.
-	Version int64
-	// Facts are what the decision was made on.
-	Facts Facts
-
-	dispatcher *Dispatcher
-	state      *endpointState
-	job        *Job
-	unread     bool
-	ended      bool
-}
-
-// Facts are what a decision was made on.
-type Facts struct {
-	// Running is the number of requests at the endpoint, those of this gateway and
-	// of others; Unread the prompt tokens of them that were not answered yet.
-	Running int
-	Unread  int
-	// OthersAge is the age of the oldest digest that counted.
-	OthersAge time.Duration
-	// Expected is the predicted time to the first event or the answer.
-	Expected time.Duration
-	// Waited is how long the job waited for the endpoint.
-	Waited time.Duration
-	// Candidates is the number of endpoints that could take the job.
-	Candidates int
-}
--- /dev/null
+++ b/internal/dispatch/ownership.go
@@ -0,0 +1,122 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/mimosaward/mimosaward/internal/fleet"
+	"github.com/mimosaward/mimosaward/internal/peering"
+)
+
+// ownership deals the endpoints of a service out to the gateways, so that each endpoint
+// has one owner, in its own availability zone if that has gateways. What the owner
+// has there it knows exactly, what others have only from their digests; gateways that
+// prefer their own endpoints seldom meet at the same one. Every gateway computes the same
+// owners from the same endpoints and gateways; while these differ, some endpoints have
+// two owners or none for a moment, which costs only time.
+type ownership struct {
+	view     *fleet.View
+	gateways []peering.Member
+	// owners holds the gateway that owns each endpoint; it is empty if there are fewer
+	// endpoints than gateways.
+	owners map[string]string
+	// lending says who else may use the own endpoints.
+	lending lending
+}
+
+// update deals the endpoints out anew if they or the gateways changed.
+func (o *ownership) update(view *fleet.View, service string, self peering.Member, peers []peering.Peer) {
+	gateways := []peering.Member{self}
+	for _, peer := range peers {
+		if peer.Digest.Ready && !peer.Digest.Stopping {
+			gateways = append(gateways, peer.Digest.Member)
+		}
+	}
+	slices.SortFunc(gateways, func(a, b peering.Member) int { return cmp.Compare(a.Name, b.Name) })
+	if o.view == view && slices.Equal(o.gateways, gateways) {
+		return
+	}
+	o.view, o.gateways = view, gateways
+	o.owners = deal(usable(view, service), gateways)
+}
+
+// usable returns the endpoints that may get requests.
+func usable(view *fleet.View, service string) []fleet.Endpoint {
+	var endpoints []fleet.Endpoint
+	for _, endpoint := range view.Service(service) {
+		if !endpoint.Draining && !view.Evacuated(endpoint.AvailabilityZone) {
+			endpoints = append(endpoints, endpoint)
+		}
+	}
+	return endpoints
+}
+
+// deal returns the owner of each endpoint. Endpoints go to the gateways of their own zone,
+// which share its callers. Gateways of a zone without endpoints, as when it is out of
+// service, get an even share from those that have most.
+func deal(endpoints []fleet.Endpoint, gateways []peering.Member) map[string]string {
+	if len(endpoints) < len(gateways) {
+		return nil
+	}
+	hands := make([][]fleet.Endpoint, len(gateways))
+	for _, endpoint := range endpoints {
+		least := fewest(hands, func(index int) bool { return gateways[index].AvailabilityZone == endpoint.AvailabilityZone })
+		if least < 0 {
+			least = fewest(hands, func(int) bool { return true })
+		}
+		hands[least] = append(hands[least], endpoint)
+	}
+	share := len(endpoints) / len(gateways)
+	for index := range hands {
+		if len(hands[index]) > 0 {
+			continue
+		}
+		for len(hands[index]) < share {
+			rich := most(hands)
+			last := len(hands[rich]) - 1
+			hands[index], hands[rich] = append(hands[index], hands[rich][last]), hands[rich][:last]
+		}
+	}
+	owners := make(map[string]string, len(endpoints))
+	for index, hand := range hands {
+		for _, endpoint := range hand {
+			owners[endpoint.ID] = gateways[index].Name
+		}
+	}
+	return owners
+}
+
+// fewest returns the index of the eligible hand with the fewest endpoints, -1 if none is
+// eligible.
+func fewest(hands [][]fleet.Endpoint, eligible func(index int) bool) int {
+	found := -1
+	for index := range hands {
+		if eligible(index) && (found < 0 || len(hands[index]) < len(hands[found])) {
+			found = index
+		}
+	}
+	return found
+}
+
+// most returns the index of the hand with the most endpoints.
+func most(hands [][]fleet.Endpoint) int {
+	found := 0
+	for index := range hands {
+		if len(hands[index]) > len(hands[found]) {
+			found = index
+		}
+	}
+	return found
+}
+
+// ownedBy returns the endpoints that a gateway owns, in the order of their IDs.
+func (o *ownership) ownedBy(gateway string) []string {
+	var owned []string
+	for endpoint, owner := range o.owners {
+		if owner == gateway {
+			owned = append(owned, endpoint)
+		}
+	}
+	slices.Sort(owned)
+	return owned
+}
--- /dev/null
+++ b/internal/dispatch/ownership_test.go
@@ -0,0 +1,146 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/mimosaward/mimosaward/internal/fleet"
+	"github.com/mimosaward/mimosaward/internal/peering"
+)
+
+// layout names the availability zone of each endpoint or gateway by one letter.
+func gatewaysIn(zones string) []peering.Member {
+	var list []peering.Member
+	for index, zone := range zones {
+		list = append(list, peering.Member{Name: fmt.Sprint("gateway-", index), AvailabilityZone: string(zone)})
+	}
+	return list
+}
+
+func endpointsIn(zones string) []fleet.Endpoint {
+	var list []fleet.Endpoint
+	for index, zone := range zones {
+		list = append(list, fleet.Endpoint{ID: fmt.Sprintf("endpoint-%02d", index), Service: "drafts", Address: fmt.Sprintf("10.0.0.%d:80", index), AvailabilityZone: string(zone)})
+	}
+	return list
+}
+
+// counts returns how many endpoints each gateway owns, and how many of them are in its
+// own zone.
+func counts(endpoints []fleet.Endpoint, gateways []peering.Member) (owned, near []int) {
+	owners := deal(endpoints, gateways)
+	for _, gateway := range gateways {
+		all, own := 0, 0
+		for _, endpoint := range endpoints {
+			if owners[endpoint.ID] != gateway.Name {
+				continue
+			}
+			all++
+			if endpoint.AvailabilityZone == gateway.AvailabilityZone {
+				own++
+			}
+		}
+		owned, near = append(owned, all), append(near, own)
+	}
+	return owned, near
+}
+
+func TestDeal(t *testing.T) {
+	cases := map[string]struct {
+		endpoints, gateways string
+		owned, near         []int
+	}{
+		"zones alike":                        {"aaaabbbbcccc", "abc", []int{4, 4, 4}, []int{4, 4, 4}},
+		"a zone has two gateways":            {"aaaabbbbcccc", "aabc", []int{2, 2, 4, 4}, []int{2, 2, 4, 4}},
+		"a zone has no endpoints":            {"bbbbbbcccccc", "abc", []int{4, 4, 4}, []int{0, 4, 4}},
+		"a zone has no gateway":              {"aaaabbbbcccc", "ab", []int{6, 6}, []int{4, 4}},
+		"fewer endpoints than gateways":      {"ab", "abc", []int{0, 0, 0}, []int{0, 0, 0}},
+		"as many endpoints as gateways":      {"aab", "aab", []int{1, 1, 1}, []int{1, 1, 1}},
+		"one gateway":                        {"abc", "a", []int{3}, []int{1}},
+		"no endpoints":                       {"", "ab", []int{0, 0}, []int{0, 0}},
+		"all gateways in a zone without any": {"bbbb", "aa", []int{2, 2}, []int{0, 0}},
+	}
+	for name, c := range cases {
+		owned, near := counts(endpointsIn(c.endpoints), gatewaysIn(c.gateways))
+		if diff := cmp.Diff([][]int{c.owned, c.near}, [][]int{owned, near}); diff != "" {
+			t.Errorf("%s: endpoints of each gateway, and those of its own zone (-want +got):\n%s", name, diff)
+		}
+	}
+}
+
+// Gateways that see the same agree on the owners, whatever the order in which they
+// learned of each other.
+func TestGatewaysAgreeOnOwners(t *testing.T) {
+	held := fleet.NewHolder()
+	held.SetEndpoints(endpointsIn("aaabbbccc"), 5)
+	gateways := gatewaysIn("abcc")
+	var all []map[string]string
+	for index, self := range gateways {
+		var peers []peering.Peer
+		for offset := 1; offset < len(gateways); offset++ {
+			peers = append(peers, peering.Peer{Digest: peering.Digest{Member: gateways[(index+offset)%len(gateways)], Ready: true}})
+		}
+		var o ownership
+		o.update(held.View(), "drafts", self, peers)
+		all = append(all, o.owners)
+	}
+	for _, owners := range all[1:] {
+		if diff := cmp.Diff(all[0], owners); diff != "" {
+			t.Errorf("owners differ between gateways:\n%s", diff)
+		}
+	}
+}
+
+// Endpoints of a zone that is out of service, and those of gateways that stop, are dealt
+// out anew.
+func TestOwnersFollowZonesAndStops(t *testing.T) {
+	held := fleet.NewHolder()
+	held.SetEndpoints(endpointsIn("aabb"), 5)
+	gateways := gatewaysIn("ab")
+	peers := []peering.Peer{{Digest: peering.Digest{Member: gateways[1], Ready: true}}}
+	var o ownership
+	o.update(held.View(), "drafts", gateways[0], peers)
+	before := o.ownedBy("gateway-0")
+	held.SetEvacuated(map[string]bool{"a": true})
+	o.update(held.View(), "drafts", gateways[0], peers)
+	evacuated := o.ownedBy("gateway-0")
+	peers[0].Digest.Stopping = true
+	o.update(held.View(), "drafts", gateways[0], peers)
+	alone := o.ownedBy("gateway-0")
+	want := [][]string{{"endpoint-00", "endpoint-01"}, {"endpoint-03"}, {"endpoint-02", "endpoint-03"}}
+	if diff := cmp.Diff(want, [][]string{before, evacuated, alone}); diff != "" {
+		t.Errorf("endpoints of the gateway before, without its zone, and alone (-want +got):\n%s", diff)
+	}
+}
+
+// At any time an endpoint is lent to one gateway, those whose requests wait come first,
+// and all have their turn.
+func TestEndpointsAreLentInTurn(t *testing.T) {
+	now := time.Now()
+	peers := []peering.Peer{
+		{Digest: peering.Digest{Member: peering.Member{Name: "calm"}}},
+		{Digest: peering.Digest{Member: peering.Member{Name: "busy"}, Demands: []peering.Demand{{Service: "drafts", Waiting: 2}}}},
+		{Digest: peering.Digest{Member: peering.Member{Name: "hot"}, Demands: []peering.Demand{{Service: "drafts", Waiting: 1}}}},
+	}
+	var l lending
+	var got []string
+	for step := range 5 {
+		// Half of the steps come before the time of the lending is over.
+		l.renew(now.Add(time.Duration(step)*lendFor/2), []string{"endpoint"}, peers, "drafts")
+		got = append(got, l.lent["endpoint"])
+	}
+	for index := range peers {
+		peers[index].Digest.Demands = nil
+	}
+	for step := range 3 {
+		l.renew(now.Add(time.Duration(4+step)*lendFor), []string{"endpoint"}, peers, "drafts")
+		got = append(got, l.lent["endpoint"])
+	}
+	want := []string{"busy", "busy", "hot", "hot", "busy", "calm", "busy", "hot"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("borrowers (-want +got):\n%s", diff)
+	}
+}
--- a/internal/engine/status.go
+++ b/internal/engine/status.go
@@ -2,7 +2,11 @@
 // takes orders. It only holds values; package platform speaks with engines.
 package engine
 
-import "github.com/mimosaward/mimosaward/internal/fleet"
+import (
+	"slices"
+
+	"github.com/mimosaward/mimosaward/internal/fleet"
+)
 
 // Status is what an engine says of itself.
 type Status struct {
@@ -34,6 +38,11 @@
 	return 0
 }
 
+// Equal reports whether two statuses are the same, but for the engine's load.
+func (s *Status) Equal(other Status) bool {
+	return s.Incarnation == other.Incarnation && s.Busy == other.Busy && s.Pace == other.Pace && slices.Equal(s.Weights, other.Weights)
+}
+
 // LoadOrder asks an engine to load the weights that are staged.
 type LoadOrder struct {
 	Model   string
--- /dev/null
+++ b/internal/experiment/experiment_test.go
@@ -0,0 +1,105 @@
+package experiment_test
+
+import (
+	"flag"
+	"fmt"
+	"regexp"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mimosaward/mimosaward/internal/experiment"
+)
+
+var (
+	table = flag.Bool("table", false, "print a table of all patterns")
+	only  = flag.String("only", "", "regular expression for the sites and patterns of the table")
+	seed  = flag.Uint64("seed", 1, "seed of the runs in the table")
+)
+
+func play(t *testing.T, site experiment.Site, pattern experiment.Pattern, seed uint64) (result experiment.Result) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		run := &experiment.Run{Site: site, Pattern: pattern, Seed: seed}
+		result = run.Play(t.Context())
+	})
+	return result
+}
+
+func TestTable(t *testing.T) {
+	if !*table {
+		t.Skip("only with -table")
+	}
+	chosen := regexp.MustCompile(*only)
+	for _, site := range []experiment.Site{experiment.Today(), experiment.Grown()} {
+		for _, pattern := range experiment.Patterns() {
+			if !chosen.MatchString(site.Name + " " + pattern.Name) {
+				continue
+			}
+			r := play(t, site, pattern, *seed)
+			fmt.Printf("%-6s %-26s worth %.3f earned %.3f windows %.2f kind %.2f large %.2f again %.3f in time %.3f late %.3f slow %.3f refused %.3f failed %.3f p50 %4d p95 %4d\n",
+				r.Site, r.Pattern, r.Worth, r.Earned, r.Windows, r.KindShare, r.Large, r.Again, r.InTime, r.Late, r.Slow, r.Refused, r.Failed,
+				r.Median/time.Millisecond, r.High/time.Millisecond)
+		}
+	}
+}
+
+const (
+	// slowGoal is the most of first tokens that may be late: the users want 95 in 100 in
+	// time.
+	slowGoal = 0.05
+	// largeGoal is the share of what all requests earn that the largest must earn at
+	// least, as the users' gate wants it.
+	largeGoal = 0.5
+)
+
+// find returns a pattern by its name, shortened.
+func find(t *testing.T, name string, length time.Duration) experiment.Pattern {
+	t.Helper()
+	for _, pattern := range experiment.Patterns() {
+		if pattern.Name == name {
+			pattern.Length = length
+			return pattern
+		}
+	}
+	t.Fatalf("pattern %q does not exist", name)
+	return experiment.Pattern{}
+}
+
+// Many gateways send to the same engines, each with a view of the others that is some
+// time old. Below the engines' capacity all callers are served, in time.
+func TestManyGatewaysAtTheUsualLoad(t *testing.T) {
+	r := play(t, experiment.Grown(), find(t, "steady", 4*time.Second), 1)
+	if r.Slow > slowGoal || r.Refused > slowGoal {
+		t.Errorf("%.3f of the callers were slow and %.3f refused, want at most %.2f of each", r.Slow, r.Refused, slowGoal)
+	}
+}
+
+// Near the engines' capacity, a place that becomes free becomes known to all gateways at
+// once. Those that have waiting requests must not all send there: what they accept is
+// answered in time.
+func TestFreePlacesAreNotRushedAt(t *testing.T) {
+	r := play(t, experiment.Grown(), find(t, "heavy", 5*time.Second), 1)
+	if r.Slow > slowGoal {
+		t.Errorf("%.3f of the accepted callers were answered late, want at most %.2f", r.Slow, slowGoal)
+	}
+}
+
+// When everyone comes at once, who is not refused is answered in time, and the largest
+// requests are not refused for their size.
+func TestEveryoneAtOnce(t *testing.T) {
+	for _, site := range []experiment.Site{experiment.Today(), experiment.Grown()} {
+		r := play(t, site, find(t, "everyone at once", 7*time.Second), 1)
+		if r.Slow > slowGoal || r.Large < largeGoal*r.Earned {
+			t.Errorf("%s: %.3f of the accepted callers were answered late, the largest earned %.2f and all %.2f", site.Name, r.Slow, r.Large, r.Earned)
+		}
+	}
+}
+
+// The gateways of a zone whose engines are out of service use those of the others.
+func TestZoneLeavesUnderLoad(t *testing.T) {
+	r := play(t, experiment.Today(), find(t, "a zone leaves", 10*time.Second), 1)
+	if r.Slow > slowGoal || r.Large < largeGoal*r.Earned {
+		t.Errorf("%.3f of the accepted callers were answered late, the largest earned %.2f and all %.2f", r.Slow, r.Large, r.Earned)
+	}
+}
--- /dev/null
+++ b/internal/experiment/site.go
@@ -0,0 +1,95 @@
+// Package experiment drives the dispatchers of several gateways against emulated engines
+// with patterns of load, and sums up what callers got. It needs no network: requests pass
+// between callers, gateways and engines as calls after a delay, on the runtime's clock.
+package experiment
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/mimosaward/mimosaward/internal/configuration"
+)
+
+// Site is an installation. Every availability zone is a region of its own.
+type Site struct {
+	Name string
+	// Gateways and Engines are the numbers in each availability zone.
+	Gateways []int
+	Engines  []int
+	Engine   configuration.Engine
+	// Queue is the number of requests that wait at an engine beyond its slots.
+	Queue int
+	Kinds []Kind
+	// CallerDelay and RegionDelay are one-way delays: between callers and gateways, and
+	// between regions.
+	CallerDelay time.Duration
+	RegionDelay time.Duration
+}
+
+// Kind is a kind of request.
+type Kind struct {
+	Name string
+	// Rate is the number of requests a second at the usual load, at all gateways.
+	Rate      float64
+	Prompt    Size
+	Answer    Size
+	Objective time.Duration
+	// Worth is what an answer in time is worth on average, Late what a later one is.
+	Worth float64
+	Late  float64
+}
+
+// Size is a log-normal number of tokens.
+type Size struct {
+	Mean   float64
+	Spread float64
+	Most   float64
+}
+
+const (
+	model   = "draft"
+	service = "drafts"
+	// patience is how long a caller waits for the whole answer.
+	patience = 6 * time.Second
+	// digestInterval is how often two gateways tell each other how they are.
+	digestInterval = 100 * time.Millisecond
+	// sameZoneDelay is the one-way delay within an availability zone.
+	sameZoneDelay = 100 * time.Microsecond
+)
+
+// sheetEngine is the engine of the users' sheets.
+func sheetEngine(slots int) configuration.Engine {
+	return configuration.Engine{
+		Slots: slots, Stride: 5, StepTime: 8870 * time.Microsecond, PerSequence: 38800 * time.Nanosecond,
+		PerKiloContext: 22700 * time.Nanosecond, ReadRate: 19100, PerMegaPair: 1470 * time.Microsecond, ChunkTokens: 2048,
+		UsualPrompt: 980, UsualAnswer: 94, Models: []string{model},
+	}
+}
+
+// kinds returns the kinds of drafts of the users' sheets at the given rates.
+func kinds(long, middle, short float64) []Kind {
+	return []Kind{
+		{Name: "long", Rate: long, Prompt: Size{1290, 1, 3880}, Answer: Size{105, 0.89, 262}, Objective: 500 * time.Millisecond, Worth: 2.4, Late: 0.6},
+		{Name: "middle", Rate: middle, Prompt: Size{787, 1, 3330}, Answer: Size{105, 0.69, 262}, Objective: 400 * time.Millisecond, Worth: 2, Late: 0.49},
+		{Name: "short", Rate: short, Prompt: Size{607, 1, 3330}, Answer: Size{70, 0.9, 262}, Objective: 400 * time.Millisecond, Worth: 1.5, Late: 0.37},
+	}
+}
+
+// Today returns the Tegaki installation of today, with the engines that were added on
+// its heavy days.
+func Today() Site {
+	return Site{
+		Name: "today", Gateways: []int{2, 1, 1}, Engines: []int{7, 7, 6}, Engine: sheetEngine(16), Queue: 32,
+		Kinds: kinds(59.2, 45.1, 42.6), CallerDelay: 3 * time.Millisecond, RegionDelay: 1800 * time.Microsecond,
+	}
+}
+
+// Grown returns the same installation after it has grown.
+func Grown() Site {
+	return Site{
+		Name: "grown", Gateways: []int{4, 4, 4}, Engines: []int{25, 25, 26}, Engine: sheetEngine(12), Queue: 24,
+		Kinds: kinds(192, 141, 137), CallerDelay: 3 * time.Millisecond, RegionDelay: 1800 * time.Microsecond,
+	}
+}
+
+func zoneName(index int) string { return fmt.Sprintf("zone-%d", index) }
--- a/internal/loader/status.go
+++ b/internal/loader/status.go
@@ -84,7 +84,7 @@
 func (b *statusBoard) set(status engine.Status, answering bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	announce := b.reply.Number == 0 || answering != b.reply.Answering || differs(b.reply.Status, status)
+	announce := b.reply.Number == 0 || answering != b.reply.Answering || !b.reply.Status.Equal(status)
 	b.reply.Status, b.reply.Answering = status, answering
 	if announce {
 		b.reply.Number++
@@ -93,20 +93,6 @@
 	}
 }
 
-// differs reports whether gateways must learn of a change at once. Load alone does
-// not count.
-func differs(a, b engine.Status) bool {
-	if a.Incarnation != b.Incarnation || a.Busy != b.Busy || a.Pace != b.Pace || len(a.Weights) != len(b.Weights) {
-		return true
-	}
-	for index := range a.Weights {
-		if a.Weights[index] != b.Weights[index] {
-			return true
-		}
-	}
-	return false
-}
-
 func (b *statusBoard) current() StatusReply {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/peering/member.go
+++ b/internal/peering/member.go
@@ -48,6 +48,9 @@
 	Running int
 	// Unread is the number of their prompt tokens that were not answered yet.
 	Unread int
+	// LentTo names the gateway that may send there besides the owner of the endpoint;
+	// only the owner's word counts.
+	LentTo string
 }
 
 // Demand is how much a gateway asks of a service.
