--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,6 +100,9 @@
 		g.Deployment.Listen.Readiness: g.readiness,
 		g.Deployment.Listen.Directory: g.directory,
 	}
+	// A stopped group's duties end by themselves; the process does not wait for them.
+	defer group.Stop()
+	defer func() { _ = controlListener.Close() }()
 	for address, handler := range servers {
 		if address == "" {
 			continue
@@ -108,6 +111,7 @@
 		if err != nil {
 			return errors.Wrapf(err, "listen on %s", address)
 		}
+		defer func() { _ = listener.Close() }()
 		server := newServer(handler)
 		group.Go(func(context.Context) { failed <- server.Serve(listener) })
 	}
--- /dev/null
+++ b/internal/hosted/installation_test.go
@@ -0,0 +1,360 @@
+// Package hosted tests the promises of gateways and loaders: they run in one bubble of
+// virtual time with a stand-in of the users' platform, joined by a network whose paths the
+// tests cut and freeze.
+package hosted
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttputil"
+
+	"github.com/mimosaward/mimosaward/internal/configuration"
+	"github.com/mimosaward/mimosaward/internal/deployment"
+	"github.com/mimosaward/mimosaward/internal/duty"
+	"github.com/mimosaward/mimosaward/internal/event"
+	"github.com/mimosaward/mimosaward/internal/gateway"
+	"github.com/mimosaward/mimosaward/internal/loader"
+	"github.com/mimosaward/mimosaward/internal/standin"
+	"github.com/mimosaward/mimosaward/platform/platformtest"
+)
+
+// TestMain serves one request outside of any bubble, since the HTTP library starts its
+// clock once for the whole process.
+func TestMain(m *testing.M) {
+	listener := fasthttputil.NewInmemoryListener()
+	server := &fasthttp.Server{Handler: func(*fasthttp.RequestCtx) {}}
+	group := duty.NewGroup(context.Background())
+	group.Go(func(context.Context) { _ = server.Serve(listener) })
+	client := &fasthttp.Client{Dial: func(string) (net.Conn, error) { return listener.Dial() }}
+	_, _, _ = client.Get(nil, "http://warm.up/")
+	client.CloseIdleConnections()
+	_ = server.Shutdown()
+	os.Exit(m.Run())
+}
+
+const (
+	zones = 3
+	// settle is how long an installation needs to come up.
+	settle  = 3 * time.Second
+	cleanUp = 3 * time.Minute
+
+	storeAddress  = "10.200.0.1:80"
+	originAddress = "10.200.0.2:80"
+	host          = "aso.example"
+	key           = "key-of-aso"
+	modelName     = "draft"
+	chunks        = 12
+	chunkBytes    = 4 << 10
+)
+
+// bounds are those of the users' sheets.
+var bounds = deployment.Bounds{
+	ConfigurationApply: 2 * time.Second, Drain: 2 * time.Second, Evacuate: 5 * time.Second, Rollout: 8 * time.Second, Grace: 8 * time.Second,
+	Contact: 3 * time.Second, AddressTTL: 5 * time.Second, ReuseAfter: 2 * time.Second, Heartbeat: 1200 * time.Millisecond,
+	EventDelay: 120 * time.Millisecond,
+}
+
+// described is the engine of the installation.
+var described = configuration.Engine{
+	Slots: 4, Stride: 5, StepTime: 10 * time.Millisecond, ReadRate: 20_000, ChunkTokens: 2048, Layers: 4, Chunks: chunks,
+	ChunkBytes: chunkBytes, WarmUp: 300 * time.Millisecond, UsualPrompt: 500, UsualAnswer: 50,
+}
+
+// installation is gateways, loaders and endpoints in one bubble.
+type installation struct {
+	t         *testing.T
+	network   *standin.Network
+	store     *platformtest.Store
+	origin    *platformtest.Origin
+	fakes     *duty.Group
+	state     platformtest.DesiredState
+	endpoints map[string]*platformtest.Endpoint
+	processes map[string]*process
+	attempts  int
+	metrics   map[string]*prometheus.Registry
+}
+
+// process is a running gateway or loader.
+type process struct {
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+// inBubble runs a test with an installation that serves.
+func inBubble(t *testing.T, test func(i *installation)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		i := newInstallation(t)
+		for zone := range zones {
+			i.startGateway(zone)
+		}
+		time.Sleep(settle)
+		test(i)
+		i.close()
+	})
+}
+
+func newInstallation(t *testing.T) *installation {
+	i := &installation{
+		t: t, network: standin.NewNetwork(), store: platformtest.NewStore(), fakes: duty.NewGroup(context.Background()),
+		origin:    &platformtest.Origin{Model: modelName, Chunks: chunks, ChunkBytes: chunkBytes, Layers: described.Layers, Newest: 1},
+		endpoints: map[string]*platformtest.Endpoint{}, processes: map[string]*process{}, metrics: map[string]*prometheus.Registry{},
+	}
+	i.serve("store", storeAddress, i.store.Handle)
+	i.serve("origin", originAddress, i.origin.Handle)
+	for zone := range zones {
+		i.startService("booking", zone, 0)
+		i.startEngine(zone, 0, 1)
+		i.startEngine(zone, 1, 1)
+	}
+	i.state = platformtest.DesiredState{
+		Version: 1,
+		Routes: []platformtest.Route{
+			{Name: "status", Host: host, Prefix: "/status/", Kind: platformtest.Idempotent, Timeout: 2000, Objective: 100, Service: "booking", Attempts: 2},
+			{Name: "book", Host: host, Prefix: "/book/", Kind: platformtest.OnceOnly, Timeout: 2000, Objective: 100, Service: "booking", Attempts: 2},
+			{Name: "draft", Host: host, Prefix: "/draft/", Kind: platformtest.Streaming, Timeout: 6000, Objective: 500, Gap: 400, Service: "drafts", Attempts: 2},
+			{Name: "home", Host: host, Prefix: "/home/", Kind: platformtest.Idempotent, Timeout: 2000, Objective: 100, Service: "booking", Attempts: 3, Regions: []string{regionName(1)}},
+			{Name: "open", Host: host, Prefix: "/open/", Kind: platformtest.Idempotent, Timeout: 2000, Objective: 100, Service: "booking", Attempts: 2, Public: true},
+		},
+		Services: []platformtest.Service{
+			{Name: "booking", MaxConns: 100},
+			{Name: "drafts", MaxConns: 100, ColdStart: 3, ColdRate: 10, Engine: &platformtest.Model{
+				Slots: described.Slots, Stride: described.Stride, Step: 10, ReadRate: described.ReadRate, Chunk: described.ChunkTokens,
+				Layers: described.Layers, Chunks: chunks, ChunkBytes: chunkBytes, Usual: platformtest.Usual{Prompt: 500, Answer: 50},
+				Models: []platformtest.ModelEntry{{Name: modelName, WarmUp: 0.3}},
+			}},
+			{Name: "office", Origin: originAddress, Zone: zoneName(0), Link: 100, MaxConns: 48},
+		},
+		Tenants: []platformtest.Tenant{{Name: "aso", Keys: []string{key}}},
+		Limits:  platformtest.Limits{HeaderBytes: 8 << 10, BodyBytes: 64 << 10},
+	}
+	i.store.Configure(i.state)
+	return i
+}
+
+func zoneName(zone int) string   { return fmt.Sprintf("zone-%d", zone) }
+func regionName(zone int) string { return fmt.Sprintf("region-%d", zone) }
+
+func gatewayName(zone int) string    { return fmt.Sprintf("gateway-%d", zone) }
+func gatewayHost(zone int) string    { return fmt.Sprintf("10.%d.1.1", zone) }
+func gatewayAddress(zone int) string { return gatewayHost(zone) + ":8005" }
+
+// serve runs a fake of the platform.
+func (i *installation) serve(owner, address string, handle fasthttp.RequestHandler) {
+	listener, err := i.network.For(owner).Listen(address)
+	if err != nil {
+		i.t.Fatal(err)
+	}
+	i.fakes.Go(func(ctx context.Context) { platformtest.Serve(ctx, listener, handle) })
+}
+
+func (i *installation) startEndpoint(endpoint *platformtest.Endpoint) {
+	listener, err := i.network.For(endpoint.ID).Listen(endpoint.Address)
+	if err != nil {
+		i.t.Fatal(err)
+	}
+	i.endpoints[endpoint.ID] = endpoint
+	i.fakes.Go(func(ctx context.Context) { endpoint.Serve(ctx, listener) })
+	endpoint.Register("ready")
+}
+
+func (i *installation) startService(service string, zone, index int) *platformtest.Endpoint {
+	endpoint := &platformtest.Endpoint{
+		ID: fmt.Sprintf("%s-%d-%d", service, zone, index), Born: 1, Service: service, Address: fmt.Sprintf("10.%d.%d.3:90", zone, index+10),
+		Zone: zoneName(zone), Slots: 6, Work: 20 * time.Millisecond, Store: i.store,
+	}
+	i.startEndpoint(endpoint)
+	return endpoint
+}
+
+func engineName(zone, index int) string { return fmt.Sprintf("engine-%d-%d", zone, index) }
+
+func engineHost(zone, index int) string { return fmt.Sprintf("10.%d.2.%d", zone, index+1) }
+
+// startEngine starts an engine that holds a version, and its loader.
+func (i *installation) startEngine(zone, index int, version int64) {
+	i.startEndpoint(&platformtest.Endpoint{
+		ID: engineName(zone, index), Born: 1, Service: "drafts", Address: engineHost(zone, index) + ":90", Zone: zoneName(zone),
+		Slots: described.Slots, Store: i.store, Engine: platformtest.NewEngine(modelName, described, i.origin, version),
+	})
+	i.startLoader(zone, index)
+}
+
+func (i *installation) deployment(name, ip string, zone int) deployment.Deployment {
+	where := deployment.Deployment{
+		Instance:  deployment.Instance{Name: name, AvailabilityZone: zoneName(zone), Region: regionName(zone), IP: ip},
+		PeerPorts: deployment.Ports{First: 7700, Last: 7715}, Bounds: bounds, Store: deployment.Store{Address: storeAddress, MaxValueBytes: 1 << 20},
+		Regions: map[string]string{}, Resources: deployment.Resources{LinkBytesPerS: 10 << 20},
+	}
+	for other := range zones {
+		where.Regions[zoneName(other)] = regionName(other)
+		where.Seeds = append(where.Seeds, gatewayHost(other)+":8000")
+	}
+	return where
+}
+
+func (i *installation) startLoader(zone, index int) {
+	name := "loader-" + engineName(zone, index)
+	where := i.deployment(name, engineHost(zone, index), zone)
+	where.Endpoint = deployment.Endpoint{Address: engineHost(zone, index) + ":90", Service: "drafts"}
+	network := i.network.For(name)
+	running := &loader.Loader{
+		Deployment: where, Log: i.log(name), Registry: prometheus.NewRegistry(), Listen: network.Listen, Dial: network.Dial, DialControl: withContext(network.Dial),
+	}
+	i.start(name, running.Run)
+}
+
+func withContext(dial func(string) (net.Conn, error)) func(context.Context, string) (net.Conn, error) {
+	return func(_ context.Context, address string) (net.Conn, error) { return dial(address) }
+}
+
+// log returns a logger that writes to the test's output if the environment asks for it.
+func (i *installation) log(name string) *event.Logger {
+	if os.Getenv("HOSTED_LOG") == "" {
+		return event.Discard()
+	}
+	log, err := event.NewLogger(os.Stdout, "text", "info", name)
+	if err != nil {
+		i.t.Fatal(err)
+	}
+	return log
+}
+
+func (i *installation) startGateway(zone int) {
+	name := gatewayName(zone)
+	where := i.deployment(name, gatewayHost(zone), zone)
+	where.Listen = deployment.Listen{
+		Callers: gatewayAddress(zone), Readiness: gatewayHost(zone) + ":8002", Directory: gatewayHost(zone) + ":8009", Control: gatewayHost(zone) + ":8000",
+	}
+	network := i.network.For(name)
+	i.metrics[name] = prometheus.NewRegistry()
+	running := &gateway.Gateway{
+		Deployment: where, Log: i.log(name), Registry: i.metrics[name], Listen: network.Listen, Dial: withContext(network.Dial), DialStore: network.Dial,
+		Left: standin.Left, Stale: standin.Left,
+	}
+	i.start(name, running.Run)
+}
+
+// start runs a process until it is stopped.
+func (i *installation) start(name string, run func(ctx context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	started := &process{stop: cancel, done: make(chan struct{})}
+	i.processes[name] = started
+	i.fakes.Go(func(context.Context) {
+		defer close(started.done)
+		if err := run(ctx); err != nil {
+			i.t.Errorf("%s: %v", name, err)
+		}
+		i.network.CloseOf(name)
+	})
+}
+
+// stop asks a process to end and waits for it.
+func (i *installation) stop(name string) {
+	running := i.processes[name]
+	delete(i.processes, name)
+	running.stop()
+	<-running.done
+}
+
+func (i *installation) close() {
+	for name, running := range i.processes {
+		running.stop()
+		i.network.CloseOf(name)
+	}
+	for _, running := range i.processes {
+		<-running.done
+	}
+	i.fakes.Stop()
+	for _, name := range []string{"store", "origin", "caller"} {
+		i.network.CloseOf(name)
+	}
+	for name := range i.endpoints {
+		i.network.CloseOf(name)
+	}
+	i.fakes.Wait()
+	time.Sleep(cleanUp)
+}
+
+// configure writes a changed desired state with the next version.
+func (i *installation) configure(change func(state *platformtest.DesiredState)) {
+	change(&i.state)
+	i.state.Version++
+	i.store.Configure(i.state)
+}
+
+// call is a plain call at the gateway of a zone.
+func (i *installation) call(zone int, path string) platformtest.Call {
+	i.attempts++
+	return platformtest.Call{
+		Gateway: gatewayAddress(zone), Attempt: fmt.Sprintf("attempt-%d", i.attempts), Method: fasthttp.MethodPost, Host: host, Path: path, Key: key,
+		Body: "body", Patience: 2 * time.Second,
+	}
+}
+
+// draft is a call for a draft.
+func (i *installation) draft(zone int) platformtest.Call {
+	call := i.call(zone, "/draft/new")
+	call.Model, call.Prompt, call.Answer, call.Patience = modelName, 500, 50, 6*time.Second
+	return call
+}
+
+// do makes a call that must get an answer.
+func (i *installation) do(call platformtest.Call) platformtest.Answer {
+	i.t.Helper()
+	answer, err := platformtest.Do(i.network.For("caller").Dial, call)
+	if err != nil {
+		i.t.Errorf("%s %s: %v", call.Path, call.Attempt, err)
+	}
+	return answer
+}
+
+// runsOf returns the runs of an attempt at all endpoints.
+func (i *installation) runsOf(attempt string) (runs []platformtest.Run, at []string) {
+	for name, endpoint := range i.endpoints {
+		for _, run := range endpoint.Runs() {
+			if run.Attempt == attempt {
+				runs, at = append(runs, run), append(at, name)
+			}
+		}
+	}
+	return runs, at
+}
+
+// setFaults gives the endpoints of a service the same faults.
+func (i *installation) setFaults(service string, faults platformtest.EndpointFaults) {
+	for _, endpoint := range i.endpoints {
+		if endpoint.Service == service {
+			endpoint.SetFaults(faults)
+		}
+	}
+}
+
+// isReady asks a gateway whether it takes requests.
+func (i *installation) isReady(zone int) bool {
+	answer, err := platformtest.Do(i.network.For("caller").Dial, platformtest.Call{
+		Gateway: gatewayHost(zone) + ":8002", Method: fasthttp.MethodGet, Host: "ready", Path: "/-/readyz",
+	})
+	return err == nil && answer.Status == fasthttp.StatusOK
+}
+
+// addresses asks the directory of a gateway.
+func (i *installation) addresses(zone int, region string) string {
+	answer, err := platformtest.Do(i.network.For("caller").Dial, platformtest.Call{
+		Gateway: gatewayHost(zone) + ":8009", Method: fasthttp.MethodGet, Host: "directory",
+		Path: "/-/resolve?name=" + host + "&region=" + region + "&zone=" + strings.Replace(region, "region", "zone", 1),
+	})
+	if err != nil || answer.Status != fasthttp.StatusOK {
+		return ""
+	}
+	return answer.Body
+}
--- /dev/null
+++ b/internal/hosted/serve_test.go
@@ -0,0 +1,114 @@
+package hosted
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/mimosaward/mimosaward/platform/platformtest"
+)
+
+// A calm day: each kind of request gets the endpoint's own answer, and the endpoint
+// learns the workspace, the time that is left, and not the key.
+func TestCalmDay(t *testing.T) {
+	inBubble(t, func(i *installation) {
+		for zone := range zones {
+			for _, path := range []string{"/status/1", "/book/1", "/open/1"} {
+				call := i.call(zone, path)
+				answer := i.do(call)
+				runs, _ := i.runsOf(call.Attempt)
+				if answer.Status != 200 || !answer.Whole || answer.Signature == "" || answer.Attempt != call.Attempt || len(runs) != 1 {
+					t.Errorf("%s: answer %+v, %d runs", path, answer, len(runs))
+					continue
+				}
+				if runs[0].Key != "" || runs[0].Tenant != "aso" || runs[0].Body != "body" || runs[0].Deadline > call.Patience || runs[0].Deadline < call.Patience/2 {
+					t.Errorf("%s: the endpoint got %+v", path, runs[0])
+				}
+			}
+			call := i.draft(zone)
+			answer := i.do(call)
+			if answer.Status != 200 || !answer.Whole || strings.Count(answer.Body, "id: ") != 11 || answer.First > 500*time.Millisecond {
+				t.Errorf("draft: answer %+v", answer)
+			}
+		}
+	})
+}
+
+// Requests that cannot be served get a clear answer, and no endpoint sees them.
+func TestWrongRequests(t *testing.T) {
+	inBubble(t, func(i *installation) {
+		cases := map[string]struct {
+			change func(call *platformtest.Call)
+			status int
+		}{
+			"unknown host":   {func(call *platformtest.Call) { call.Host = "other.example" }, 404},
+			"unknown path":   {func(call *platformtest.Call) { call.Path = "/other/" }, 404},
+			"unknown key":    {func(call *platformtest.Call) { call.Key = "stranger" }, 401},
+			"no key":         {func(call *platformtest.Call) { call.Key = "" }, 401},
+			"large body":     {func(call *platformtest.Call) { call.Body = strings.Repeat("b", 65<<10) }, 413},
+			"large header":   {func(call *platformtest.Call) { call.Header = map[string]string{"X-Other": strings.Repeat("h", 9<<10)} }, 431},
+			"key on an open": {func(call *platformtest.Call) { call.Path, call.Key = "/open/1", "" }, 200},
+		}
+		for name, c := range cases {
+			call := i.call(0, "/status/1")
+			c.change(&call)
+			answer := i.do(call)
+			runs, _ := i.runsOf(call.Attempt)
+			if answer.Status != c.status || (c.status != 200) != (len(runs) == 0) {
+				t.Errorf("%s: status %d and %d runs, want status %d", name, answer.Status, len(runs), c.status)
+			}
+		}
+	})
+}
+
+// A gateway that knows no configuration yet says so, with a time to come back, and is not
+// ready.
+func TestNoConfigurationYet(t *testing.T) {
+	inBubble(t, func(i *installation) {
+		i.stop(gatewayName(0))
+		i.network.Cut(gatewayName(0), "store", gatewayName(1), gatewayName(2))
+		i.startGateway(0)
+		time.Sleep(settle)
+		answer := i.do(i.call(0, "/status/1"))
+		if answer.Status != 503 || answer.RetryAfter == 0 || i.isReady(0) {
+			t.Errorf("answer %+v, ready %t; want 503 with a time to come back, and not ready", answer, i.isReady(0))
+		}
+		i.network.Heal(gatewayName(0), "store", gatewayName(1), gatewayName(2))
+		time.Sleep(settle)
+		if answer := i.do(i.call(0, "/status/1")); answer.Status != 200 || !i.isReady(0) {
+			t.Errorf("after the cut: answer %+v, ready %t", answer, i.isReady(0))
+		}
+	})
+}
+
+// A request whose route has homes runs there only, whichever gateway gets it.
+func TestHomesBind(t *testing.T) {
+	inBubble(t, func(i *installation) {
+		for zone := range zones {
+			call := i.call(zone, "/home/1")
+			if answer := i.do(call); answer.Status != 200 {
+				t.Errorf("answer %+v", answer)
+			}
+			_, at := i.runsOf(call.Attempt)
+			if diff := cmp.Diff([]string{"booking-1-0"}, at); diff != "" {
+				t.Errorf("endpoints of the request (-want +got):\n%s", diff)
+			}
+		}
+	})
+}
+
+// Callers are sent to the gateways of their region, and elsewhere if it has none.
+func TestDirectory(t *testing.T) {
+	inBubble(t, func(i *installation) {
+		if got := i.addresses(1, regionName(0)); !strings.Contains(got, gatewayAddress(0)) || strings.Contains(got, gatewayAddress(1)) {
+			t.Errorf("callers of region 0 are told %s", got)
+		}
+		i.stop(gatewayName(0))
+		time.Sleep(settle)
+		if got := i.addresses(1, regionName(0)); strings.Contains(got, gatewayAddress(0)) || !strings.Contains(got, gatewayAddress(1)) {
+			t.Errorf("callers of region 0 are told %s after its gateway left", got)
+		}
+	})
+}
--- /dev/null
+++ b/internal/hosted/store_test.go
@@ -0,0 +1,214 @@
+package hosted
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/mimosaward/mimosaward/platform/platformtest"
+)
+
+// addRoute is a change that a request can tell.
+func addRoute(state *platformtest.DesiredState) {
+	route := state.Routes[0]
+	route.Name, route.Prefix = "new", "/new/"
+	state.Routes = append(state.Routes, route)
+}
+
+// requireRoute checks whether a route is in force at every gateway.
+func (i *installation) requireRoute(when string, inForce bool) {
+	i.t.Helper()
+	want := 200
+	if !inForce {
+		want = 404
+	}
+	for zone := range zones {
+		if answer := i.do(i.call(zone, "/new/1")); answer.Status != want {
+			i.t.Errorf("%s: gateway %d answers %d, want %d", when, zone, answer.Status, want)
+		}
+	}
+}
+
+func TestConfigurationIsInForceInTime(t *testing.T) {
+	for name, disturb := range map[string]func(i *installation){
+		"calm":    func(*installation) {},
+		"slow":    func(i *installation) { i.store.SetFaults(platformtest.StoreFaults{Slow: 200 * time.Millisecond}) },
+		"refused": func(i *installation) { i.store.SetFaults(platformtest.StoreFaults{Refused: []string{gatewayName(1)}}) },
+		"cut off": func(i *installation) { i.network.Cut(gatewayName(1), "store") },
+		"frozen":  func(i *installation) { i.network.Freeze(gatewayName(1), "store") },
+		"history gone": func(i *installation) {
+			i.store.SetFaults(platformtest.StoreFaults{Deaf: true})
+			time.Sleep(500 * time.Millisecond)
+			i.store.CutWatches(true)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(i *installation) {
+				i.requireRoute("before", false)
+				disturb(i)
+				i.configure(addRoute)
+				if name == "history gone" {
+					time.Sleep(time.Second)
+					i.store.CutWatches(true)
+					i.store.SetFaults(platformtest.StoreFaults{})
+				}
+				time.Sleep(bounds.ConfigurationApply)
+				i.requireRoute("after the bound", true)
+				i.network.Thaw(gatewayName(1), "store")
+				i.store.SetFaults(platformtest.StoreFaults{})
+			})
+		})
+	}
+}
+
+// Serving survives an outage of the store; changes are in force soon after its return,
+// and a gateway that restarts meanwhile takes over what the others know.
+func TestStoreOutage(t *testing.T) {
+	inBubble(t, func(i *installation) {
+		i.configure(addRoute)
+		time.Sleep(bounds.ConfigurationApply)
+		i.store.SetFaults(platformtest.StoreFaults{Down: true})
+		time.Sleep(settle)
+		i.requireRoute("during the outage", true)
+		i.stop(gatewayName(2))
+		i.startGateway(2)
+		time.Sleep(settle)
+		i.requireRoute("after a restart during the outage", true)
+		i.configure(func(state *platformtest.DesiredState) { state.Routes = state.Routes[:len(state.Routes)-1] })
+		i.requireRoute("while the store is still down", true)
+		i.store.SetFaults(platformtest.StoreFaults{})
+		time.Sleep(bounds.ConfigurationApply)
+		i.requireRoute("after the return", false)
+	})
+}
+
+// Objects that cannot be read name nothing, and harm no other.
+func TestUnreadableObjects(t *testing.T) {
+	inBubble(t, func(i *installation) {
+		i.store.PutRaw("servers", "torn", []byte(`{"service":"booking","address":`+"\"10.9.9.9:1\""+`}`))
+		i.store.PutRaw("servers", "foreign", []byte(`{"service":7}`))
+		i.store.PutRaw("servers", "odd", []byte(`{"service":"booking","address":"10.9.9.9:1","zone":"zone-0","slots":6,"state":"resting"}`))
+		i.store.PutRaw("versions", "odd", []byte(`[]`))
+		time.Sleep(time.Second)
+		for range 6 {
+			call := i.call(0, "/book/1")
+			if answer := i.do(call); answer.Status != 200 {
+				t.Errorf("answer %+v", answer)
+			}
+		}
+		i.store.PutRaw("config", "main", []byte(`{"version":"none"}`))
+		time.Sleep(time.Second)
+		if answer := i.do(i.call(0, "/status/1")); answer.Status != 200 {
+			t.Errorf("after a configuration that cannot be read: %+v", answer)
+		}
+	})
+}
+
+// Nothing is sent to a zone that is out of service, by gateways that the store does not
+// reach either.
+func TestEvacuatedZoneGetsNothing(t *testing.T) {
+	inBubble(t, func(i *installation) {
+		i.network.Cut(gatewayName(2), "store")
+		i.store.Evacuate(zoneName(0))
+		time.Sleep(bounds.Evacuate)
+		before := i.arrivals(zoneName(0))
+		for index := range 12 {
+			_ = i.do(i.call(index%zones, "/book/1"))
+			_ = i.do(i.draft(index % zones))
+		}
+		if after := i.arrivals(zoneName(0)); after != before {
+			t.Errorf("%d requests reached a zone that is out of service", after-before)
+		}
+		i.store.Return(zoneName(0))
+		time.Sleep(settle)
+		for index := range 12 {
+			_ = i.do(i.call(index%zones, "/book/1"))
+		}
+		if i.arrivals(zoneName(0)) == before {
+			t.Error("no request reached the zone after its return")
+		}
+	})
+}
+
+// arrivals counts the requests that reached the endpoints of a zone.
+func (i *installation) arrivals(zone string) int {
+	count := 0
+	for _, endpoint := range i.endpoints {
+		if endpoint.Zone == zone {
+			count += endpoint.Arrivals()
+		}
+	}
+	return count
+}
+
+// A leaving endpoint gets no new requests after the bound.
+func TestLeavingEndpointGetsNothing(t *testing.T) {
+	for name, leave := range map[string]func(endpoint *platformtest.Endpoint){
+		"draining": func(endpoint *platformtest.Endpoint) { endpoint.Register("draining") },
+		"gone":     func(endpoint *platformtest.Endpoint) { endpoint.Deregister() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(i *installation) {
+				leaving := i.endpoints["booking-0-0"]
+				leave(leaving)
+				time.Sleep(bounds.Drain)
+				before := leaving.Arrivals()
+				for index := range 12 {
+					if answer := i.do(i.call(index%zones, "/book/1")); answer.Status != 200 {
+						t.Errorf("answer %+v", answer)
+					}
+				}
+				if after := leaving.Arrivals(); after != before {
+					t.Errorf("%d requests reached the leaving endpoint", after-before)
+				}
+			})
+		})
+	}
+}
+
+// Keys that were taken away are refused, and new ones work.
+func TestKeysChange(t *testing.T) {
+	inBubble(t, func(i *installation) {
+		i.configure(func(state *platformtest.DesiredState) { state.Tenants[0].Keys = []string{"new key"} })
+		time.Sleep(bounds.ConfigurationApply)
+		call := i.call(0, "/status/1")
+		if answer := i.do(call); answer.Status != 401 {
+			t.Errorf("old key: %d", answer.Status)
+		}
+		call = i.call(0, "/status/1")
+		call.Key = "new key"
+		if answer := i.do(call); answer.Status != 200 {
+			t.Errorf("new key: %d", answer.Status)
+		}
+	})
+}
+
+// A gateway that was told to stop finishes what it has, and is named to nobody.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	inBubble(t, func(i *installation) {
+		answers := make(chan platformtest.Answer, 4)
+		for range cap(answers) {
+			call := i.draft(0)
+			i.fakes.Go(func(context.Context) { answers <- i.do(call) })
+		}
+		time.Sleep(100 * time.Millisecond)
+		running := i.processes[gatewayName(0)]
+		running.stop()
+		time.Sleep(500 * time.Millisecond)
+		if i.isReady(0) || strings.Contains(i.addresses(1, regionName(0)), gatewayAddress(0)) {
+			t.Error("a stopping gateway is ready or named")
+		}
+		late := i.do(i.call(0, "/book/1"))
+		if late.Status != 200 || !late.Closes {
+			t.Errorf("a request to a stopping gateway: %+v, want an answer that closes the connection", late)
+		}
+		for range cap(answers) {
+			if answer := <-answers; !answer.Whole || answer.Status != 200 {
+				t.Errorf("answer %+v", answer)
+			}
+		}
+		<-running.done
+		delete(i.processes, gatewayName(0))
+	})
+}
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -41,7 +41,9 @@
 	mu       sync.Mutex
 	objects  map[string]Object
 	revision int64
-	synced   bool
+	// synced is true once there is a copy, relist while it must be listed again.
+	synced bool
+	relist bool
 	// notify serializes OnChange.
 	notify sync.Mutex
 
@@ -121,7 +123,7 @@
 // batch of changes.
 func (i *Informer) follow(ctx context.Context) error {
 	i.mu.Lock()
-	from, listed := i.revision, i.synced
+	from, listed := i.revision, i.synced && !i.relist
 	i.mu.Unlock()
 	if !listed {
 		return i.list(ctx)
@@ -142,7 +144,7 @@
 func (i *Informer) forgetRevision() {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.synced = false
+	i.relist = true
 }
 
 func (i *Informer) list(ctx context.Context) error {
@@ -167,13 +169,12 @@
 	}
 	i.noteAvailable()
 	i.mu.Lock()
+	// A peer's copy that was adopted meanwhile may be newer.
 	newer := revision >= i.revision
 	if newer {
-		i.objects, i.revision, i.synced = objects, revision, true
-	} else {
-		// A peer's copy that was adopted meanwhile is newer.
-		i.synced = true
+		i.objects, i.revision = objects, revision
 	}
+	i.synced, i.relist = true, false
 	i.mu.Unlock()
 	if newer {
 		i.changed()
--- a/internal/informer/informer_test.go
+++ b/internal/informer/informer_test.go
@@ -145,3 +145,15 @@
 		requireRevision(t, followed, 7)
 	})
 }
+
+// A copy that must be listed again is still handed to gateways that lack one, as during
+// an outage of the store.
+func TestCopyIsHeldWhileTheStoreIsAway(t *testing.T) {
+	follow(t, func(s *store, followed *informer.Informer) {
+		s.setDeaf(true)
+		s.cutWatches()
+		if snapshot, held := followed.Snapshot(); !held || snapshot.Revision != 1 {
+			t.Errorf("the copy is held: %t, at revision %d", held, snapshot.Revision)
+		}
+	})
+}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -85,10 +85,12 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for gateways")
 	}
+	defer func() { _ = controlListener.Close() }()
 	chunkListener, err := l.Listen(l.ownAddress(chunkPort(l.Deployment.PeerPorts)))
 	if err != nil {
 		return errors.Wrap(err, "listen for other instances")
 	}
+	defer func() { _ = chunkListener.Close() }()
 	app := fiber.New()
 	l.carrier.Routes(app)
 	chunkServer := &fasthttp.Server{Handler: app.Handler(), NoDefaultServerHeader: true, IdleTimeout: peerIdle}
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"io"
 	"net"
 	"os"
 	"strings"
@@ -134,8 +135,9 @@
 		return nil, errRefused
 	}
 	near, far := net.Pipe()
-	client := &connection{Conn: near, network: n, path: pathOf(name, target.owner), control: control}
-	server := &connection{Conn: far, network: n, path: client.path, control: control}
+	client := &connection{Conn: near, network: n, path: pathOf(name, target.owner), remote: target.owner, control: control}
+	server := &connection{Conn: far, network: n, path: client.path, remote: name, control: control, peer: client}
+	client.peer = server
 	n.mu.Lock()
 	n.connections[client] = struct{}{}
 	n.connections[server] = struct{}{}
@@ -213,10 +215,38 @@
 	network *Network
 	path    path
 	control bool
+	// remote is the process at the other end, peer that end.
+	remote string
+	peer   *connection
 
 	mu            sync.Mutex
 	readDeadline  time.Time
 	writeDeadline time.Time
+	closed        bool
+}
+
+// processAddr is the address of a process, its name.
+type processAddr string
+
+// Network implements net.Addr.
+func (processAddr) Network() string { return "tcp" }
+
+// String implements net.Addr.
+func (a processAddr) String() string { return string(a) }
+
+// RemoteAddr implements net.Conn.
+func (c *connection) RemoteAddr() net.Addr { return processAddr(c.remote) }
+
+// Left reports whether the other end of a connection was closed.
+func Left(conn net.Conn) bool {
+	held, known := conn.(*connection)
+	return known && held.peer.isClosed()
+}
+
+func (c *connection) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
 }
 
 // SetDeadline implements net.Conn.
@@ -232,7 +262,16 @@
 	c.mu.Lock()
 	c.readDeadline = at
 	c.mu.Unlock()
-	return c.Conn.SetReadDeadline(at)
+	return c.unlessPeerClosed(c.Conn.SetReadDeadline(at))
+}
+
+// unlessPeerClosed drops the error of a pipe whose other end was closed: on a real
+// connection, only reads and writes show that.
+func (c *connection) unlessPeerClosed(err error) error {
+	if errors.Is(err, io.ErrClosedPipe) && !c.isClosed() {
+		return nil
+	}
+	return err
 }
 
 // SetWriteDeadline implements net.Conn.
@@ -240,7 +279,7 @@
 	c.mu.Lock()
 	c.writeDeadline = at
 	c.mu.Unlock()
-	return c.Conn.SetWriteDeadline(at)
+	return c.unlessPeerClosed(c.Conn.SetWriteDeadline(at))
 }
 
 func (c *connection) deadlines() (read, write time.Time) {
@@ -270,12 +309,30 @@
 
 // Close implements net.Conn.
 func (c *connection) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
 	c.network.mu.Lock()
 	delete(c.network.connections, c)
 	c.network.mu.Unlock()
 	return c.Conn.Close()
 }
 
+// CloseOf closes every connection of a process, as its end does.
+func (n *Network) CloseOf(name string) {
+	n.mu.Lock()
+	var broken []*connection
+	for held := range n.connections {
+		if held.path.a == name || held.path.b == name {
+			broken = append(broken, held)
+		}
+	}
+	n.mu.Unlock()
+	for _, held := range broken {
+		_ = held.Close()
+	}
+}
+
 // IsCut reports whether the path between two processes is cut.
 func (n *Network) IsCut(a, b string) bool {
 	n.mu.Lock()
