Drop aborted requests, and spend less on digests and watches

A request that is given up now resets its connection.

Gateways of different regions exchange digests every 200 ms (engines are lent for as long), one digest in ten names the other gateways, and changes of endpoints are gathered for 400 ms.

--- /dev/null
+++ b/internal/connection/abort_test.go
@@ -0,0 +1,56 @@
+package connection_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
+
+	"github.com/mimosaward/mimosaward/internal/connection"
+)
+
+// A request that is given up must not reach its endpoint later: what the endpoint has not
+// acknowledged is dropped with the connection.
+func TestAbortedRequestIsDropped(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	pool := &connection.Pool{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "tcp4", address)
+	}}
+	conn, err := pool.Get(t.Context(), listener.Addr().String(), false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = accepted.Close() }()
+	var header fasthttp.RequestHeader
+	header.SetMethod(fasthttp.MethodPost)
+	header.SetRequestURI("/")
+	header.SetHost("aso.example")
+	exchange, err := pool.Send(conn, &header, []byte("body"), time.Now().Add(time.Second))
+	if err != nil {
+		t.Fatal(err)
+	}
+	exchange.Abort()
+	exchange.Discard()
+	if err := accepted.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	buffer := make([]byte, 1<<10)
+	for err == nil {
+		_, err = accepted.Read(buffer)
+	}
+	if !errors.Is(err, unix.ECONNRESET) {
+		t.Errorf("the endpoint sees %v, want a reset", err)
+	}
+}
--- a/internal/connection/conn.go
+++ b/internal/connection/conn.go
@@ -25,6 +25,19 @@
 // Reused reports whether the connection carried an earlier request.
 func (c *Conn) Reused() bool { return c.reused }
 
+// abort closes the connection and drops what has not reached the other side: bytes that
+// a stalled link holds up must not arrive after the request was given up.
+func (c *Conn) abort() {
+	if c.closed.Swap(true) {
+		return
+	}
+	if lingering, can := c.Conn.(interface{ SetLinger(seconds int) error }); can {
+		// A connection that is broken already has nothing to drop.
+		_ = lingering.SetLinger(0)
+	}
+	_ = c.Conn.Close()
+}
+
 // Close closes the connection, and may be called more than once and from another
 // goroutine.
 func (c *Conn) Close() error {
--- a/internal/connection/exchange.go
+++ b/internal/connection/exchange.go
@@ -43,7 +43,7 @@
 		err = writer.Flush()
 	}
 	if err != nil {
-		_ = conn.Close()
+		conn.abort()
 		if counted.written == 0 {
 			err = errors.Mark(err, ErrNotSent)
 		}
@@ -145,13 +145,13 @@
 // connection.
 const untilClose = -2
 
-// Abort closes the connection, which tells the endpoint to stop. It may be called
+// Abort resets the connection, which tells the endpoint to stop. It may be called
 // from another goroutine; Release must follow.
-func (e *Exchange) Abort() { _ = e.conn.Close() }
+func (e *Exchange) Abort() { e.conn.abort() }
 
 // Discard ends an exchange that was not read to its end.
 func (e *Exchange) Discard() {
-	_ = e.conn.Close()
+	e.conn.abort()
 	e.release()
 }
 
--- a/internal/dispatch/lending.go
+++ b/internal/dispatch/lending.go
@@ -7,12 +7,12 @@
 )
 
 const (
-	// lendFor is how long an endpoint is lent to one gateway: about the time between two
-	// digests.
-	lendFor = 100 * time.Millisecond
+	// lendFor is how long an endpoint is lent to one gateway: the time between two
+	// digests to gateways of other regions.
+	lendFor = 200 * time.Millisecond
 	// lentMaxAge is how long a gateway that borrows goes by the owner's word: several
 	// digests, since one may be late.
-	lentMaxAge = 300 * time.Millisecond
+	lentMaxAge = 500 * time.Millisecond
 )
 
 // lending says to which other gateway each owned endpoint is lent. The free places of an
--- a/internal/experiment/pattern.go
+++ b/internal/experiment/pattern.go
@@ -38,6 +38,7 @@
 		{Name: "a zone leaves", Length: usualLength, Disturb: leaveZone},
 		{Name: "engines load in turn", Length: usualLength, Disturb: loadInTurn},
 		{Name: "slow engines", Length: usualLength, Disturb: slowEngines},
+		{Name: "engines go silent", Length: usualLength, Disturb: silenceEngines},
 		{Name: "all engines return empty", Length: usualLength, Disturb: returnEmpty},
 	}
 }
@@ -92,6 +93,20 @@
 	}
 }
 
+// silenceEngines makes a tenth of the engines answer nothing for a while.
+func silenceEngines(ctx context.Context, r *Run) {
+	duty.Sleep(ctx, disturbAt)
+	for index, engine := range r.engines {
+		if index%10 == 0 {
+			engine.emulated.SetPace(50)
+		}
+	}
+	duty.Sleep(ctx, 5*time.Second)
+	for _, engine := range r.engines {
+		engine.emulated.SetPace(1)
+	}
+}
+
 // returnEmpty takes all engines away at once, and lets them come back within a second
 // of each other.
 func returnEmpty(ctx context.Context, r *Run) {
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -173,7 +173,11 @@
 // exchange tells one gateway how another one is, again and again.
 func (r *Run) exchange(ctx context.Context, from, to *gateway) {
 	duty.Sleep(ctx, time.Duration(r.draw(float64(digestInterval))))
-	for duty.Sleep(ctx, digestInterval) {
+	interval := digestInterval
+	if from.zone != to.zone {
+		interval = farDigestInterval
+	}
+	for duty.Sleep(ctx, interval) {
 		digest := peering.Digest{Member: from.member(), Ready: true}
 		digest.Loads, digest.Demands = from.dispatcher.Digest()
 		duty.Sleep(ctx, r.delay(from.zone, to.zone))
--- a/internal/experiment/site.go
+++ b/internal/experiment/site.go
@@ -53,6 +53,8 @@
 	patience = 6 * time.Second
 	// digestInterval is how often two gateways tell each other how they are.
 	digestInterval = 100 * time.Millisecond
+	// farDigestInterval is the same for gateways of different regions.
+	farDigestInterval = 200 * time.Millisecond
 	// sameZoneDelay is the one-way delay within an availability zone.
 	sameZoneDelay = 100 * time.Microsecond
 )
--- a/internal/hosted/installation_test.go
+++ b/internal/hosted/installation_test.go
@@ -340,7 +340,7 @@
 }
 
 // isReady asks a gateway whether it takes requests.
-func (i *installation) isReady(zone int) bool {
+func (i *installation) isReady(zone int) bool { //nolint:unparam // the other helpers name the zone too
 	answer, err := platformtest.Do(i.network.For("caller").Dial, platformtest.Call{
 		Gateway: gatewayHost(zone) + ":8002", Method: fasthttp.MethodGet, Host: "ready", Path: "/-/readyz",
 	})
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -18,9 +18,15 @@
 	"github.com/mimosaward/mimosaward/platform"
 )
 
-// settle is the pause in which changes in quick succession are gathered. It is well
-// below every bound in which a change must be in force.
-const settle = 100 * time.Millisecond
+const (
+	// settle is the pause in which changes in quick succession are gathered. It is well
+	// below every bound in which a change must be in force.
+	settle = 100 * time.Millisecond
+	// endpointSettle is the same for endpoints, which change all the time: each answer of
+	// a watch is a call that is paid for. A leaving endpoint may get requests for
+	// seconds, and loaders tell sooner how their engines are.
+	endpointSettle = 400 * time.Millisecond
+)
 
 // Observer follows the store. Set the exported fields before Run; the methods are
 // safe for concurrent use.
@@ -58,8 +64,12 @@
 // Follow follows one more kind; apply is called with each change. It must be called
 // before Run.
 func (o *Observer) Follow(kind string, apply func(informer.Snapshot)) {
+	pause := settle
+	if kind == platform.KindEndpoints {
+		pause = endpointSettle
+	}
 	o.informers = append(o.informers, &informer.Informer{
-		Kind: kind, Settle: settle, List: o.List, Watch: o.Watch,
+		Kind: kind, Settle: pause, List: o.List, Watch: o.Watch,
 		OnChange: func(snapshot informer.Snapshot) {
 			apply(snapshot)
 			o.announce()
--- a/internal/peering/member.go
+++ b/internal/peering/member.go
@@ -29,8 +29,10 @@
 	Demands []Demand
 	// Rollouts are the versions of models that it knows, and for how long.
 	Rollouts []Rollout
-	// Others are the gateways that it heard of lately.
+	// Others are the gateways that it heard of lately; not every digest names them.
 	Others []Member
+	// AskOthers asks for a digest that names the other gateways.
+	AskOthers bool
 }
 
 // Rollout is a version of a model that the operators named.
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -18,14 +18,19 @@
 )
 
 const (
-	// interval is how often two gateways exchange digests. Loads of others are at
-	// most that old, a fraction of the time that a request takes.
+	// interval is how often two gateways of a region exchange digests. Loads of others
+	// are at most that old, a fraction of the time that a request takes.
 	interval = 100 * time.Millisecond
+	// farInterval is the same for gateways of different regions, whose links are thin.
+	farInterval = 200 * time.Millisecond
+	// othersEvery is the number of digests of which one names the other gateways: news
+	// of them are rare, and most of a digest's bytes.
+	othersEvery = 10
 	// timeout bounds an exchange; the longest way takes some milliseconds.
 	timeout = 400 * time.Millisecond
-	// takeOverAfter is the silence after which the gateway that is usually called
-	// calls itself.
-	takeOverAfter = 3 * interval
+	// takeOverAfter is the number of intervals of silence after which the gateway that
+	// is usually called calls itself.
+	takeOverAfter = 3
 	// lagLimit is how long a copy may be behind a peer's before it is asked for: the
 	// own watch is usually quicker.
 	lagLimit = 250 * time.Millisecond
@@ -74,10 +79,11 @@
 	peering *Peering
 }
 
-// Exchange hears a digest and answers with the own one.
+// Exchange hears a digest and answers with the own one, which names the other gateways if
+// the one heard asks for them.
 func (s *service) Exchange(args, reply *Digest) error {
 	s.peering.hear(*args)
-	*reply = s.peering.digest()
+	*reply = s.peering.digest(args.AskOthers)
 	return nil
 }
 
@@ -125,7 +131,7 @@
 // askSeed calls an address that is known from the start, until a gateway is heard.
 func (p *Peering) askSeed(ctx context.Context, address string) {
 	for len(p.Table.Members()) == 0 && ctx.Err() == nil {
-		p.exchange(ctx, address)
+		p.exchange(ctx, address, true)
 		duty.Sleep(ctx, 2*interval)
 	}
 }
@@ -149,15 +155,19 @@
 // call exchanges digests with a gateway until it is forgotten. Of two gateways the
 // one with the lower name calls; the other one does so only after a silence.
 func (p *Peering) call(ctx context.Context, name string) {
-	for ctx.Err() == nil {
+	for count := 0; ctx.Err() == nil; count++ {
 		member, known := p.member(name)
 		if !known {
 			return
 		}
-		if p.Self.Name < name || p.Table.Silence(name) > takeOverAfter {
-			p.exchange(ctx, member.Control)
+		pause := interval
+		if member.Region != p.Self.Region {
+			pause = farInterval
 		}
-		duty.Sleep(ctx, interval)
+		if p.Self.Name < name || p.Table.Silence(name) > takeOverAfter*pause {
+			p.exchange(ctx, member.Control, count%othersEvery == 0)
+		}
+		duty.Sleep(ctx, pause)
 	}
 }
 
@@ -170,10 +180,10 @@
 	return Member{}, false
 }
 
-func (p *Peering) exchange(ctx context.Context, address string) {
+func (p *Peering) exchange(ctx context.Context, address string, withOthers bool) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	args := p.digest()
+	args := p.digest(withOthers)
 	var reply Digest
 	if err := p.Control.Call(ctx, address, exchangeMethod, &args, &reply); err != nil {
 		// The table's silence shows it; logAlive tells when it counts.
@@ -182,15 +192,19 @@
 	p.hear(reply)
 }
 
-func (p *Peering) digest() Digest {
+// digest returns what to tell another gateway.
+func (p *Peering) digest(withOthers bool) Digest {
 	digest := p.Digest()
 	digest.Member = p.Self
 	digest.Revisions = map[string]int64{}
 	for _, held := range p.Copies {
 		digest.Revisions[held.Kind] = held.Revision()
 	}
-	for _, peer := range p.Table.Alive() {
-		digest.Others = append(digest.Others, peer.Digest.Member)
+	digest.AskOthers = withOthers
+	if withOthers {
+		for _, peer := range p.Table.Alive() {
+			digest.Others = append(digest.Others, peer.Digest.Member)
+		}
 	}
 	return digest
 }
--- /dev/null
+++ b/internal/peering/peering_test.go
@@ -0,0 +1,110 @@
+package peering_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/mimosaward/mimosaward/internal/control"
+	"github.com/mimosaward/mimosaward/internal/duty"
+	"github.com/mimosaward/mimosaward/internal/event"
+	"github.com/mimosaward/mimosaward/internal/peering"
+	"github.com/mimosaward/mimosaward/internal/standin"
+)
+
+// node is a gateway that only peers.
+type node struct {
+	table *peering.Table
+	group *duty.Group
+}
+
+func memberOf(index int, incarnation int64) peering.Member {
+	name := fmt.Sprintf("gateway-%d", index)
+	return peering.Member{Name: name, Region: fmt.Sprint("region-", index%2), Control: name + ":81", Incarnation: incarnation}
+}
+
+// start runs a gateway that knows the first one as its only seed.
+func start(t *testing.T, network *standin.Network, index int, incarnation int64) *node {
+	t.Helper()
+	self := memberOf(index, incarnation)
+	near := network.For(self.Name)
+	dial := func(_ context.Context, address string) (net.Conn, error) { return near.Dial(address) }
+	started := &node{table: &peering.Table{Self: self.Name}, group: duty.NewGroup(context.Background())}
+	peers := &peering.Peering{
+		Self: self, Table: started.table, Control: &control.Client{Dial: dial}, Bulk: &control.Client{Dial: dial}, Log: event.Discard(),
+		Digest: func() peering.Digest { return peering.Digest{Ready: true} }, Seeds: []string{memberOf(0, 0).Control}, OnDigest: func(peering.Digest) {},
+	}
+	server := control.NewServer()
+	if err := peers.Register(server); err != nil {
+		t.Fatal(err)
+	}
+	listener, err := near.Listen(self.Control)
+	if err != nil {
+		t.Fatal(err)
+	}
+	started.group.Go(func(ctx context.Context) { server.Run(ctx, listener) })
+	started.group.Go(peers.Run)
+	return started
+}
+
+// alive returns the names and incarnations of the gateways that the node counts as alive.
+func (n *node) alive() []string {
+	var names []string
+	for _, peer := range n.table.Alive() {
+		names = append(names, fmt.Sprint(peer.Digest.Member.Name, " ", peer.Digest.Member.Incarnation))
+	}
+	return names
+}
+
+func (n *node) stop(network *standin.Network, index int) {
+	n.group.Stop()
+	network.CloseOf(memberOf(index, 0).Name)
+	n.group.Wait()
+}
+
+// Gateways find each other from one seed, without the store; a gateway that stopped is
+// noticed by all, and one that restarted is known by its new incarnation.
+func TestGatewaysFindEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := standin.NewNetwork()
+		const count = 5
+		var nodes []*node
+		for index := range count {
+			nodes = append(nodes, start(t, network, index, 1))
+		}
+		requireAlive := func(when string, incarnations [count]int64) {
+			t.Helper()
+			for index, held := range nodes {
+				var want []string
+				for other, incarnation := range incarnations {
+					if other != index && incarnation > 0 {
+						want = append(want, fmt.Sprint("gateway-", other, " ", incarnation))
+					}
+				}
+				if incarnations[index] == 0 {
+					continue
+				}
+				if diff := cmp.Diff(want, held.alive()); diff != "" {
+					t.Errorf("%s: gateways that gateway %d counts as alive (-want +got):\n%s", when, index, diff)
+				}
+			}
+		}
+		time.Sleep(3 * time.Second)
+		requireAlive("at the start", [count]int64{1, 1, 1, 1, 1})
+		nodes[3].stop(network, 3)
+		time.Sleep(3 * time.Second)
+		requireAlive("after a stop", [count]int64{1, 1, 1, 0, 1})
+		nodes[3] = start(t, network, 3, 2)
+		time.Sleep(3 * time.Second)
+		requireAlive("after a restart", [count]int64{1, 1, 1, 2, 1})
+		for index, held := range slices.All(nodes) {
+			held.stop(network, index)
+		}
+	})
+}
