gateway: refuse a request that a planned stop would cut off

Cause: a gateway that got SIGTERM accepted requests until it exited, 7 s later. A caller with an old directory response sent one 5 s after the signal, and its stream was cut when the process exited. Change: after three seconds, the time for which callers may keep a directory response, a stopping gateway accepts only requests whose deadline is before its exit, and refuses the others with 503 and a short Retry-After on a connection that it closes.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -40,6 +40,9 @@
 		return &refusal{status: fasthttp.StatusUnauthorized, reason: "unknownKey"}
 	}
 	r.setDeadline()
+	if !r.gateway.drain.accepts(r.deadline, r.arrived) {
+		return notExecuted(reasonStopping, stoppingRetryAfter)
+	}
 	r.isRetry = r.gateway.retryDetector.observe(route.Name, r.clientRequest.Timeout)
 	return r.setRegions()
 }
--- /dev/null
+++ b/internal/gateway/drain.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/mimosaward/mimosaward/internal/dispatch"
+	"github.com/mimosaward/mimosaward/internal/event"
+)
+
+const (
+	// acceptWindow is how long a stopping gateway still accepts every request: callers
+	// use a directory response for up to three times its TTL.
+	acceptWindow = 3 * time.Second
+	// minDrainTime is how long a stopping gateway runs at least, so that the callers that
+	// still use its address are answered.
+	minDrainTime = 4 * time.Second
+	// drainMargin is how long before the end of the grace period the gateway exits.
+	drainMargin = time.Second
+	// drainPollInterval is how often the requests in flight are counted.
+	drainPollInterval = 50 * time.Millisecond
+	// reasonStopping is the reason for refusals by a stopping gateway, and
+	// stoppingRetryAfter their retry delay: another gateway can serve the request at once.
+	reasonStopping     = dispatch.Reason("stopping")
+	stoppingRetryAfter = 50 * time.Millisecond
+)
+
+// drain is the state of a planned stop. The zero value is a gateway that does not stop.
+// It is safe for concurrent use.
+type drain struct {
+	mu        sync.Mutex
+	startedAt time.Time
+	exitAt    time.Time
+}
+
+// start begins the stop, which ends at exitAt at the latest.
+func (d *drain) start(now, exitAt time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.startedAt, d.exitAt = now, exitAt
+}
+
+func (d *drain) started() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.startedAt.IsZero()
+}
+
+// accepts reports whether a request may be accepted: one that arrives after acceptWindow
+// must have its final response before the gateway exits.
+func (d *drain) accepts(deadline, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.startedAt.IsZero() || now.Sub(d.startedAt) < acceptWindow || deadline.Before(d.exitAt)
+}
+
+// drainRequests withdraws the gateway from the directory and serves until no request is in
+// flight, for at least minDrainTime and at most the grace period less drainMargin.
+func (g *Gateway) drainRequests() {
+	start := time.Now()
+	exitAt := start.Add(g.bounds.Load().GracePeriod - drainMargin)
+	g.drain.start(start, exitAt)
+	g.Log.Emit(event.DrainStarted, event.Fields{"inFlight": g.requests.count()})
+	for time.Now().Before(exitAt) {
+		if time.Since(start) > minDrainTime && g.requests.count() == 0 {
+			break
+		}
+		time.Sleep(drainPollInterval)
+	}
+	g.Log.Emit(event.DrainEnded, event.Fields{"inFlight": g.requests.count()})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,7 +75,7 @@
 	controlClient *controlrpc.Client
 	controlServer *controlrpc.Server
 	loaderPoller  *loaderPoller
-	stopping      atomic.Bool
+	drain         drain
 }
 
 // Run serves until stop is done, then drains the requests in flight.
@@ -122,7 +122,7 @@
 	case err := <-serveErrors:
 		return err
 	case <-stop.Done():
-		g.drain()
+		g.drainRequests()
 		return nil
 	}
 }
@@ -202,31 +202,14 @@
 	}
 }
 
-// drainPollInterval is how often drain checks whether requests are in flight.
-const drainPollInterval = 50 * time.Millisecond
-
-// drain withdraws the gateway from the directory and continues to serve until no request
-// is in flight, for at least four seconds and at most the grace period less one second.
-func (g *Gateway) drain() {
-	g.stopping.Store(true)
-	g.Log.Emit(event.DrainStarted, event.Fields{"inFlight": g.requests.count()})
-	deadline := time.Now().Add(g.bounds.Load().GracePeriod - time.Second)
-	earliestEnd := time.Now().Add(4 * time.Second)
-	for time.Now().Before(deadline) {
-		if time.Now().After(earliestEnd) && g.requests.count() == 0 {
-			break
-		}
-		time.Sleep(drainPollInterval)
-	}
-	g.Log.Emit(event.DrainEnded, event.Fields{"inFlight": g.requests.count()})
-}
-
 // handleRequest handles one client request.
 func (g *Gateway) handleRequest(c *fasthttp.RequestCtx) {
 	r := g.beginRequest(c)
-	if g.stopping.Load() {
-		c.SetConnectionClose()
-	}
+	defer func() {
+		if g.drain.started() {
+			c.SetConnectionClose()
+		}
+	}()
 	if refused := r.admit(); refused != nil {
 		r.refuse(refused)
 		r.end()
@@ -237,9 +220,6 @@
 	} else {
 		r.serveBuffered()
 	}
-	if g.stopping.Load() {
-		c.SetConnectionClose()
-	}
 }
 
 // handleReadiness reports to the platform whether the gateway accepts requests.
@@ -254,5 +234,5 @@
 }
 
 func (g *Gateway) ready() bool {
-	return !g.stopping.Load() && g.observer.Configuration() != nil
+	return !g.drain.started() && g.observer.Configuration() != nil
 }
