loader: ask other instances for a manifest before the origin

Cause: an engine that serves nothing while the operators named no version asked for the manifest of "the newest version", a key that no loader caches, and after 0.4 s asked the origin every 50 ms. All loaders also called all seeds ten times a second until they had a plan. Change: such an engine takes the newest version that another engine serves, whose loader has the manifest; after the parent, loaders ask instances that serve the version and the first three of the tree, and only these three ask the origin soon. A loader calls one seed at a time.

--- a/internal/loader/fetch.go
+++ b/internal/loader/fetch.go
@@ -38,7 +38,7 @@
 		case !ok:
 			waitForChange(ctx, changed, fetchRetryDelay)
 		case l.weightSets.complete(wanted.version):
-			waitForChange(ctx, changed, fetchCheckInterval)
+			waitForChange(ctx, changed, concurrency.UntilTick(fetchCheckInterval))
 		default:
 			if err := l.fetchWeightSet(ctx, wanted); err != nil && ctx.Err() == nil {
 				l.Log.Emit(event.ManifestFailed, event.Fields{"model": wanted.model, "version": wanted.version, "error": err.Error()})
--- a/internal/loader/load.go
+++ b/internal/loader/load.go
@@ -41,7 +41,7 @@
 		status := l.status.current()
 		switch {
 		case manifest == nil, !status.Answering, status.Status.Busy, status.Status.Version(manifest.Model) >= versionOf(manifest):
-			waitForChange(ctx, changed, loadInterval)
+			waitForChange(ctx, changed, concurrency.UntilTick(loadInterval))
 		case l.awaitLoadStart(ctx, manifest, status.Status, changed):
 			l.load(ctx, manifest)
 		}
--- a/internal/loader/manifest.go
+++ b/internal/loader/manifest.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -10,18 +11,27 @@
 	"github.com/mimosaward/mimosaward/internal/concurrency"
 	"github.com/mimosaward/mimosaward/internal/engine"
 	"github.com/mimosaward/mimosaward/internal/event"
+	"github.com/mimosaward/mimosaward/internal/membership"
 	"github.com/mimosaward/mimosaward/internal/transport"
 	"github.com/mimosaward/mimosaward/internal/weights"
 )
 
 const (
-	// manifestPeerTimeout is how long a manifest is requested from the parent in the tree
-	// before it is requested from the origin: several times the propagation time through
+	// manifestParentTimeout is how long a manifest is requested from the parent in the
+	// tree before it is requested from others: several times the propagation time through
 	// the tree.
-	manifestPeerTimeout = 400 * time.Millisecond
-	// manifestRetryDelay is the delay between attempts, about the time in which the
-	// parent receives the manifest.
-	manifestRetryDelay = 50 * time.Millisecond
+	manifestParentTimeout = 400 * time.Millisecond
+	// manifestOriginTimeout is how long an instance that is not among the first
+	// manifestRoots requests a manifest from others before it requests it from the origin,
+	// which accepts a few tens of connections.
+	manifestOriginTimeout = 3 * time.Second
+	// manifestRoots is the number of instances that request a manifest from the origin
+	// after manifestParentTimeout: the root of the tree and those that replace it.
+	manifestRoots = 3
+	// minManifestRetryDelay and maxManifestRetryDelay bound the delay between attempts,
+	// which starts at about the time in which the parent receives the manifest.
+	minManifestRetryDelay = 50 * time.Millisecond
+	maxManifestRetryDelay = 400 * time.Millisecond
 	// manifestLogInterval is the number of failed attempts per log event.
 	manifestLogInterval = 10
 )
@@ -36,8 +46,9 @@
 func (l *Loader) fetchManifest(ctx context.Context, wanted modelVersion) (*weights.Manifest, error) {
 	var lastErr error
 	start := time.Now()
+	delay := minManifestRetryDelay
 	for attempt := 0; ctx.Err() == nil; attempt++ {
-		manifest, err := l.tryFetchManifest(ctx, wanted, time.Since(start) < manifestPeerTimeout)
+		manifest, err := l.tryFetchManifest(ctx, wanted, attempt, time.Since(start))
 		if err == nil {
 			return manifest, nil
 		}
@@ -45,19 +56,18 @@
 		if attempt%manifestLogInterval == manifestLogInterval-1 {
 			l.Log.Emit(event.ManifestFailed, event.Fields{"model": wanted.model, "version": wanted.version, "tries": attempt + 1, "error": err.Error()})
 		}
-		concurrency.Sleep(ctx, manifestRetryDelay)
+		concurrency.Sleep(ctx, delay)
+		delay = min(delay*5/4, maxManifestRetryDelay)
 	}
 	return nil, errors.CombineErrors(ctx.Err(), lastErr)
 }
 
-// tryFetchManifest requests the manifest from the parent in a tree over the members if
-// there is a parent and fromPeer is set, otherwise from the origin.
-func (l *Loader) tryFetchManifest(ctx context.Context, wanted modelVersion, fromPeer bool) (*weights.Manifest, error) {
+// tryFetchManifest requests the manifest from another instance or from the origin.
+func (l *Loader) tryFetchManifest(ctx context.Context, wanted modelVersion, attempt int, waited time.Duration) (*weights.Manifest, error) {
 	key := manifestKey(wanted)
 	plan, _ := l.plans.current()
-	parent, hasParent := transport.ManifestParent(key, l.self().Name, filterInstances(plan.Members.Instances, allMembers))
-	if hasParent && fromPeer {
-		text, err := l.transport.FetchManifest(ctx, key, parent)
+	if peer, ok := l.manifestPeer(plan, wanted, attempt, waited); ok {
+		text, err := l.transport.FetchManifest(ctx, key, peer)
 		if err != nil {
 			return nil, err
 		}
@@ -77,6 +87,31 @@
 	return l.cacheManifest(key, text)
 }
 
+// manifestPeer returns the instance to request the manifest from, and false for the origin:
+// first the parent in the tree over the members, then in turn the instances that serve the
+// version and the first instances of the tree. The root requests it from the origin at
+// once, the instances that may replace it after manifestParentTimeout, and the others
+// after manifestOriginTimeout.
+func (l *Loader) manifestPeer(plan Plan, wanted modelVersion, attempt int, waited time.Duration) (membership.Instance, bool) {
+	key, self := manifestKey(wanted), l.self().Name
+	members := filterInstances(plan.Members.Instances, allMembers)
+	parent, hasParent := transport.ManifestParent(key, self, members)
+	if !hasParent {
+		return membership.Instance{}, false
+	}
+	if waited < manifestParentTimeout {
+		return parent, true
+	}
+	isOther := func(instance membership.Instance) bool { return instance.Name != self }
+	roots := transport.ManifestRoots(key, members, manifestRoots)
+	if !slices.ContainsFunc(roots, func(root membership.Instance) bool { return root.Name == self }) && waited < manifestOriginTimeout {
+		serving := filterInstances(plan.Members.Instances, func(member Member) bool { return member.Version == wanted.version && wanted.version > 0 })
+		candidates := slices.Concat(membership.TopRanked(self, slices.DeleteFunc(serving, func(i membership.Instance) bool { return !isOther(i) }), manifestRoots), roots)
+		return candidates[attempt%len(candidates)], true
+	}
+	return membership.Instance{}, false
+}
+
 var errNoOrigin = errors.New("configuration has no weight origin")
 
 // convertManifest validates the origin's manifest and encodes it in the internal format.
--- a/internal/loader/observe.go
+++ b/internal/loader/observe.go
@@ -83,16 +83,19 @@
 // a new engine becomes known to the gateways only with its first heartbeat, and they do
 // not call its loader before.
 func (l *Loader) requestPlanFromSeeds(ctx context.Context) {
-	group := concurrency.NewGroup(ctx)
-	for _, seed := range l.Deployment.Seeds {
-		group.Go(func(ctx context.Context) {
-			for plan, _ := l.plans.current(); plan.Model.Version == 0 && ctx.Err() == nil; plan, _ = l.plans.current() {
-				l.requestPlan(ctx, seed)
-				concurrency.Sleep(ctx, seedRetryDelay)
-			}
-		})
+	seeds := l.Deployment.Seeds
+	if len(seeds) == 0 {
+		return
+	}
+	// Instances start with different seeds, so that they do not all call the same gateway.
+	first := int(membership.Score("seed", l.Deployment.Instance.Name) % uint64(len(seeds)))
+	for attempt := first; ctx.Err() == nil; attempt++ {
+		if plan, _ := l.plans.current(); plan.Model.Version != 0 {
+			return
+		}
+		l.requestPlan(ctx, seeds[attempt%len(seeds)])
+		concurrency.Sleep(ctx, seedRetryDelay)
 	}
-	group.Wait()
 }
 
 const (
@@ -100,7 +103,7 @@
 	// has the plan after a few calls to the object store.
 	seedRetryDelay = 100 * time.Millisecond
 	// seedTimeout bounds one request.
-	seedTimeout = 500 * time.Millisecond
+	seedTimeout = 300 * time.Millisecond
 )
 
 // requestPlan requests the plan from one gateway. Errors are not logged: without a plan,
@@ -120,7 +123,7 @@
 // with the number of engines.
 func (l *Loader) watchGatewayContact(ctx context.Context) {
 	started := time.Now()
-	for concurrency.Sleep(ctx, gatewayCheckInterval) {
+	for concurrency.Tick(ctx, gatewayCheckInterval) {
 		if time.Since(latest(started, l.plans.lastContact())) < gatewayTimeout {
 			continue
 		}
--- a/internal/loader/plan.go
+++ b/internal/loader/plan.go
@@ -48,6 +48,15 @@
 	Version  int64
 }
 
+// newestServed returns the newest version that an engine serves, 0 if none serves any.
+func (p *Plan) newestServed() int64 {
+	newest := int64(0)
+	for _, member := range p.Members.Instances {
+		newest = max(newest, member.Version)
+	}
+	return newest
+}
+
 // filterInstances returns the instances of the members for which keep returns true.
 func filterInstances(members []Member, keep func(Member) bool) []membership.Instance {
 	var list []membership.Instance
--- a/internal/loader/status.go
+++ b/internal/loader/status.go
@@ -17,7 +17,7 @@
 	StatusMethod = ServiceName + ".Status"
 	// statusInterval is how often the engine's status is polled; the call does not leave
 	// the instance.
-	statusInterval = 100 * time.Millisecond
+	statusInterval = 200 * time.Millisecond
 	// maxStatusWait bounds how long a Status call waits for a change.
 	maxStatusWait = time.Second
 )
@@ -129,7 +129,7 @@
 			status = l.status.current().Status
 		}
 		l.status.set(status, err == nil)
-		concurrency.Sleep(ctx, statusInterval)
+		concurrency.Tick(ctx, statusInterval)
 	}
 }
 
--- a/internal/loader/wanted.go
+++ b/internal/loader/wanted.go
@@ -17,8 +17,9 @@
 }
 
 // wantedVersion returns the version that this instance should store: the one set by the
-// operators, otherwise the one that the engine serves, otherwise the newest. It returns
-// false before the plan names a model, and while there is no engine to load weights for.
+// operators, otherwise the one that the engine serves, otherwise the newest that another
+// engine serves, otherwise the newest at the origin. It returns false before the plan names
+// a model, and while there is no engine to load weights for.
 func (l *Loader) wantedVersion() (modelVersion, bool) {
 	plan, _ := l.plans.current()
 	if plan.Model.Model == "" || !l.participates(plan) {
@@ -28,7 +29,11 @@
 		return modelVersion{model: plan.Model.Model, version: plan.Wanted.Version}, true
 	}
 	status := l.status.current()
-	return modelVersion{model: plan.Model.Model, version: status.Status.Version(plan.Model.Model)}, status.Answering
+	version := status.Status.Version(plan.Model.Model)
+	if version == 0 {
+		version = plan.newestServed()
+	}
+	return modelVersion{model: plan.Model.Model, version: version}, status.Answering
 }
 
 // participates reports whether the instance has an engine that needs weights: one that
--- a/internal/transport/manifest.go
+++ b/internal/transport/manifest.go
@@ -83,6 +83,12 @@
 	return membership.Instance{}, false
 }
 
+// ManifestRoots returns the first instances of the distribution tree of a manifest: the root
+// and those that replace it if it fails.
+func ManifestRoots(key string, members []membership.Instance, count int) []membership.Instance {
+	return membership.TopRanked("manifest/"+key, members, count)
+}
+
 // FetchManifest fetches an encoded manifest from another instance.
 func (t *Transport) FetchManifest(ctx context.Context, key string, peer membership.Instance) ([]byte, error) {
 	if err := ctx.Err(); err != nil {
