--- a/internal/concurrency/group.go
+++ b/internal/concurrency/group.go
@@ -34,13 +34,13 @@
 	g.tasks.Go(func() { task(g.ctx) })
 }
 
-// Every starts a goroutine that runs task immediately and again one interval
-// after each run ends, until the group stops.
+// Every starts a goroutine that runs task immediately and again at each tick of the
+// interval, until the group stops.
 func (g *Group) Every(interval time.Duration, task func(ctx context.Context)) {
 	g.Go(func(ctx context.Context) {
 		for ctx.Err() == nil {
 			task(ctx)
-			Sleep(ctx, interval)
+			Tick(ctx, interval)
 		}
 	})
 }
--- a/internal/dispatch/digest.go
+++ b/internal/dispatch/digest.go
@@ -31,6 +31,11 @@
 			delete(state.peerLoads, name)
 		}
 	}
+	for _, reported := range digest.Statuses {
+		if state := d.state(reported.Endpoint); state.statusAt.Before(now.Add(-reported.Age)) {
+			state.recordStatus(reported.Status, reported.Responding, now.Add(-reported.Age))
+		}
+	}
 	d.updateDemandRatios(now)
 	d.drainAllQueues(now)
 }
@@ -44,6 +49,7 @@
 	}
 	d.demandRatios = map[string]float64{}
 	d.peers = d.Peers()
+	d.gateways = readyGateways(d.Self, d.peers)
 	for _, peer := range d.peers {
 		peerRate := 0.0
 		for _, demand := range peer.Digest.Demands {
@@ -60,22 +66,49 @@
 	}
 }
 
-// LocalLoad returns the gateway's own load and demand for the digest to the other
-// gateways. It renews the lending of owned endpoints that has expired.
-func (d *Dispatcher) LocalLoad() (loads []peering.Load, demands []peering.Demand) {
+// AddTo adds the gateway's own load, demand, capacities and statuses to the digest for the
+// other gateways. It renews the lending of owned endpoints that has expired.
+func (d *Dispatcher) AddTo(digest *peering.Digest) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
 	lentTo := d.renewLending(now)
 	for id, state := range d.endpoints {
 		if state.running > 0 || lentTo[id] != "" {
-			loads = append(loads, peering.Load{Endpoint: id, Running: state.running, Unread: state.pendingPrefill, LentTo: lentTo[id]})
+			digest.Loads = append(digest.Loads, peering.Load{Endpoint: id, Running: state.running, Unread: state.pendingPrefill, LentTo: lentTo[id]})
 		}
 	}
+	digest.Demands = d.demands(now)
+	digest.Capacities = d.capacities(now)
+	digest.Statuses = d.ownedStatuses(now)
+}
+
+// Demands returns the gateway's own load for each service.
+func (d *Dispatcher) Demands() []peering.Demand {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.demands(time.Now())
+}
+
+func (d *Dispatcher) demands(now time.Time) []peering.Demand {
+	demands := make([]peering.Demand, 0, len(d.services))
 	for name, service := range d.services {
 		demands = append(demands, peering.Demand{Service: name, Rate: service.demand.rate(now), Waiting: len(service.queue)})
 	}
-	return loads, demands
+	return demands
+}
+
+// ownedStatuses returns the recent statuses of the engines that the gateway owns.
+func (d *Dispatcher) ownedStatuses(now time.Time) []peering.EndpointStatus {
+	var statuses []peering.EndpointStatus
+	for _, owners := range d.ownership {
+		for _, id := range owners.ownedBy(d.Self.Name) {
+			if state := d.state(id); state.statusFresh(now) {
+				statuses = append(statuses, peering.EndpointStatus{Endpoint: id, Status: state.status, Responding: state.responding, Age: now.Sub(state.statusAt)})
+			}
+		}
+	}
+	return statuses
 }
 
 // renewLending renews the lending of this gateway's endpoints where it has expired, and
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -28,8 +29,12 @@
 	// MinVersion returns the lowest version of a model that may start new requests; 0
 	// means any.
 	MinVersion func(model string) int64
-	// Peers returns the latest digests of the other live gateways.
+	// Peers returns the latest digests of the other live gateways of the cell.
 	Peers func() []peering.Peer
+	// CellEndpoints returns a function that reports whether the gateways of the cell send
+	// requests to an engine, given the ID and the region of its endpoint. It returns nil if
+	// they do so to every engine.
+	CellEndpoints func() func(id, region string) bool
 
 	mu        sync.Mutex
 	endpoints map[string]*endpointState
@@ -38,8 +43,10 @@
 	// demandRatios holds the demand of each other gateway as a multiple of this
 	// gateway's demand.
 	demandRatios map[string]float64
-	// peers are the other live gateways.
-	peers []peering.Peer
+	// peers are the other live gateways of the cell. gateways are the ready ones of them
+	// and this one, ordered by name.
+	peers    []peering.Peer
+	gateways []peering.Member
 	// snapshots is the buffer that snapshotEndpoints and snapshotEndpoint reuse.
 	snapshots []endpointSnapshot
 }
@@ -47,12 +54,34 @@
 // Acquire returns a grant for an endpoint, or a refusal. It queues the job if an endpoint
 // may become available in time.
 func (d *Dispatcher) Acquire(ctx context.Context, job *Job) (*Grant, *Refusal) {
+	d.recordDemand(job)
+	return d.decide(ctx, job, true)
+}
+
+// TryAcquire returns a grant for an endpoint that can take the job now, or a refusal. The
+// job may be passed to AwaitEndpoint afterwards.
+func (d *Dispatcher) TryAcquire(ctx context.Context, job *Job) (*Grant, *Refusal) {
+	d.recordDemand(job)
+	return d.decide(ctx, job, false)
+}
+
+// AwaitEndpoint is like Acquire for a job that TryAcquire has refused.
+func (d *Dispatcher) AwaitEndpoint(ctx context.Context, job *Job) (*Grant, *Refusal) {
+	return d.decide(ctx, job, true)
+}
+
+func (d *Dispatcher) recordDemand(job *Job) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.service(job.Service).demand.record(time.Now())
+}
+
+func (d *Dispatcher) decide(ctx context.Context, job *Job, mayQueue bool) (*Grant, *Refusal) {
 	now := time.Now()
 	d.mu.Lock()
 	service := d.service(job.Service)
-	service.demand.record(now)
 	queued := &queuedJob{job: job, enqueuedAt: now, done: make(chan struct{})}
-	d.admit(service, queued, now)
+	d.admit(service, queued, mayQueue, now)
 	decided := queued.decided()
 	d.mu.Unlock()
 	if decided {
@@ -84,7 +113,7 @@
 }
 
 // ownershipOf returns the up-to-date ownership of the endpoints of a service with engines.
-func (d *Dispatcher) ownershipOf(view *clusterstate.View, service string) *ownership {
+func (d *Dispatcher) ownershipOf(view *clusterstate.View, service string, now time.Time) *ownership {
 	current := d.ownership[service]
 	if current == nil {
 		current = &ownership{}
@@ -93,7 +122,10 @@
 		}
 		d.ownership[service] = current
 	}
-	current.update(view, service, d.Self, d.peers)
+	if d.gateways == nil {
+		d.gateways = readyGateways(d.Self, d.peers)
+	}
+	current.update(view, service, d.gateways, d.CellEndpoints, now)
 	return current
 }
 
@@ -128,10 +160,24 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	state := d.state(endpoint)
-	changed := responding != state.responding || !state.status.Equal(status)
-	state.status, state.responding, state.statusAt = status, responding, now
-	if changed {
+	if d.state(endpoint).recordStatus(status, responding, now) {
 		d.drainAllQueues(now)
 	}
 }
+
+// OwnedEndpoints returns the IDs of the engines of a service whose loaders this gateway
+// polls: those that it owns, or all engines of the cell if they have no owners. The other
+// gateways receive their statuses in its digests.
+func (d *Dispatcher) OwnedEndpoints(service string) map[string]bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	owners := d.ownershipOf(d.View(), service, time.Now())
+	if owners.owners == nil {
+		return maps.Clone(owners.inCell)
+	}
+	owned := map[string]bool{}
+	for _, id := range owners.ownedBy(d.Self.Name) {
+		owned[id] = true
+	}
+	return owned
+}
--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -107,6 +107,14 @@
 // an endpoint.
 const typicalDigestAge = 100 * time.Millisecond
 
+// recordStatus records a status from the engine's loader and reports whether it differs
+// from the last one.
+func (s *endpointState) recordStatus(status engine.Status, responding bool, at time.Time) bool {
+	changed := responding != s.responding || !s.status.Equal(status)
+	s.status, s.responding, s.statusAt = status, responding, at
+	return changed
+}
+
 // statusFresh reports whether the loader's status is recent enough to be used.
 func (s *endpointState) statusFresh(now time.Time) bool { return now.Sub(s.statusAt) <= statusMaxAge }
 
--- a/internal/dispatch/grant.go
+++ b/internal/dispatch/grant.go
@@ -14,13 +14,31 @@
 	// Decision describes the state on which the endpoint was selected.
 	Decision Decision
 
-	dispatcher     *Dispatcher
-	state          *endpointState
-	job            *Job
-	prefillPending bool
-	released       bool
+	grantedAt time.Time
+	// record applies an outcome to the state of the dispatcher that granted the job.
+	record   func(Outcome)
+	released bool
 }
 
+// Outcome is what became of a granted job.
+type Outcome int
+
+// Outcomes of granted jobs. Released follows the others.
+const (
+	// Responded means that the endpoint started to respond.
+	Responded Outcome = iota
+	// Failed means that the endpoint sent no valid response.
+	Failed
+	// Errored means that the endpoint responded with an error of its own.
+	Errored
+	// Refused means that the endpoint refused the request.
+	Refused
+	// Misdirected means that another endpoint responded at the endpoint's address.
+	Misdirected
+	// Released means that the job no longer uses the endpoint.
+	Released
+)
+
 // Decision describes the state on which an endpoint was selected.
 type Decision struct {
 	// Running is the number of requests of all gateways at the endpoint. PendingPrefill
@@ -36,61 +54,82 @@
 	// Owned is true if the gateway owns the endpoint, false if the endpoint is borrowed
 	// or shared.
 	Owned bool
+	// Lender names the gateway of another cell that granted the job, empty if this
+	// gateway's own dispatcher did.
+	Lender string
 	// Candidates is the number of endpoints that could take the job.
 	Candidates int
 }
 
-// RecordResponse records that the endpoint started to respond.
-func (g *Grant) RecordResponse() {
-	g.update(func(now time.Time) {
-		g.finishPrefill()
-		g.state.health.recordSuccess(now)
-	})
+// NewRemoteGrant returns a grant of another gateway's dispatcher. record passes the outcomes
+// on to that gateway.
+func NewRemoteGrant(endpoint clusterstate.Endpoint, version int64, decision Decision, record func(Outcome)) *Grant {
+	return &Grant{Endpoint: endpoint, Version: version, Decision: decision, grantedAt: time.Now(), record: record}
 }
 
-// RecordFailure records that the endpoint sent no valid response.
-func (g *Grant) RecordFailure() { g.update(func(now time.Time) { g.state.health.recordFailure(now) }) }
-
-// RecordError records that the endpoint responded with an error of its own.
-func (g *Grant) RecordError() { g.update(func(now time.Time) { g.state.health.recordError(now) }) }
-
-// RecordRefusal records that the endpoint refused the request.
-func (g *Grant) RecordRefusal() { g.update(func(now time.Time) { g.state.health.recordRefusal(now) }) }
+// maxGrantAge is the age from which a grant must not be used any more: the load at the
+// endpoint has changed since. It is about the time of a request.
+const maxGrantAge = time.Second
 
-// RecordMisdirected records that another endpoint responded at the endpoint's
-// address.
-func (g *Grant) RecordMisdirected() {
-	g.update(func(now time.Time) {
-		g.state.misdirectedIncarnation = g.Endpoint.Incarnation
-		if g.Endpoint.Incarnation == 0 {
-			g.state.health.recordFailure(now)
-		}
-	})
+// Expired reports whether the grant is too old to be used, for example because the process
+// was suspended. It compares the time of day too, because the monotonic clock does not
+// count the time of a suspended instance.
+func (g *Grant) Expired(now time.Time) bool {
+	return now.Sub(g.grantedAt) > maxGrantAge || now.Round(0).Sub(g.grantedAt.Round(0)) > maxGrantAge
 }
 
-// Release releases the endpoint's slot. Further calls have no effect.
+// Record records an outcome other than Released.
+func (g *Grant) Record(outcome Outcome) { g.record(outcome) }
+
+// Release releases the endpoint's slot. Further calls have no effect. It must not be called
+// concurrently.
 func (g *Grant) Release() {
-	g.update(func(now time.Time) {
-		if g.released {
-			return
-		}
+	if !g.released {
 		g.released = true
-		g.finishPrefill()
-		g.state.running--
-		g.dispatcher.drainQueueAt(g.job.Service, g.Endpoint.ID, now)
-	})
+		g.record(Released)
+	}
 }
 
-// finishPrefill subtracts the job's prompt from the endpoint's pending prefill, once.
-func (g *Grant) finishPrefill() {
-	if g.prefillPending {
-		g.prefillPending = false
-		g.state.pendingPrefill -= g.job.PromptTokens
+// localGrant is the state of a grant in the dispatcher that granted it.
+type localGrant struct {
+	dispatcher     *Dispatcher
+	state          *endpointState
+	endpoint       clusterstate.Endpoint
+	job            *Job
+	prefillPending bool
+}
+
+// apply applies an outcome to the state of the endpoint.
+func (l *localGrant) apply(outcome Outcome) {
+	l.dispatcher.mu.Lock()
+	defer l.dispatcher.mu.Unlock()
+	now := time.Now()
+	switch outcome {
+	case Responded:
+		l.finishPrefill()
+		l.state.health.recordSuccess(now)
+	case Failed:
+		l.state.health.recordFailure(now)
+	case Errored:
+		l.state.health.recordError(now)
+	case Refused:
+		l.state.health.recordRefusal(now)
+	case Misdirected:
+		l.state.misdirectedIncarnation = l.endpoint.Incarnation
+		if l.endpoint.Incarnation == 0 {
+			l.state.health.recordFailure(now)
+		}
+	case Released:
+		l.finishPrefill()
+		l.state.running--
+		l.dispatcher.drainQueueAt(l.job.Service, l.endpoint.ID, now)
 	}
 }
 
-func (g *Grant) update(change func(now time.Time)) {
-	g.dispatcher.mu.Lock()
-	defer g.dispatcher.mu.Unlock()
-	change(time.Now())
+// finishPrefill subtracts the job's prompt from the endpoint's pending prefill, once.
+func (l *localGrant) finishPrefill() {
+	if l.prefillPending {
+		l.prefillPending = false
+		l.state.pendingPrefill -= l.job.PromptTokens
+	}
 }
--- a/internal/dispatch/ownership.go
+++ b/internal/dispatch/ownership.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
+	"time"
 
 	"github.com/mimosaward/mimosaward/internal/clusterstate"
 	"github.com/mimosaward/mimosaward/internal/peering"
@@ -16,8 +18,11 @@
 // these inputs differ, some endpoints briefly have two owners or none, which only adds
 // latency.
 type ownership struct {
-	view     *clusterstate.View
-	gateways []peering.Member
+	view      *clusterstate.View
+	gateways  []peering.Member
+	checkedAt time.Time
+	// inCell holds the IDs of the usable endpoints of the cell.
+	inCell map[string]bool
 	// owners maps the ID of each endpoint to the name of its owner. It is empty if there
 	// are fewer endpoints than gateways.
 	owners map[string]string
@@ -25,8 +30,35 @@
 	lending lending
 }
 
-// update reassigns the endpoints if they or the gateways have changed.
-func (o *ownership) update(view *clusterstate.View, service string, self peering.Member, peers []peering.Peer) {
+// cellCheckInterval is how often the endpoints of the cell are determined again if nothing
+// else has changed. It is the interval between digests.
+const cellCheckInterval = 100 * time.Millisecond
+
+// update reassigns the endpoints if they, the gateways or the cells have changed.
+func (o *ownership) update(view *clusterstate.View, service string, gateways []peering.Member, cellEndpoints func() func(id, region string) bool, now time.Time) {
+	unchanged := o.view == view && slices.Equal(o.gateways, gateways)
+	if unchanged && now.Sub(o.checkedAt) < cellCheckInterval {
+		return
+	}
+	o.checkedAt = now
+	endpoints := usableEndpoints(view, service)
+	if inCell := cellEndpoints(); inCell != nil {
+		endpoints = slices.DeleteFunc(endpoints, func(endpoint clusterstate.Endpoint) bool { return !inCell(endpoint.ID, endpoint.Region) })
+	}
+	ids := make(map[string]bool, len(endpoints))
+	for index := range endpoints {
+		ids[endpoints[index].ID] = true
+	}
+	if unchanged && maps.Equal(o.inCell, ids) {
+		return
+	}
+	o.view, o.gateways, o.inCell = view, gateways, ids
+	o.owners = assignOwners(endpoints, gateways)
+}
+
+// readyGateways returns the gateways that take part in the ownership of endpoints, ordered
+// by name.
+func readyGateways(self peering.Member, peers []peering.Peer) []peering.Member {
 	gateways := []peering.Member{self}
 	for _, peer := range peers {
 		if peer.Digest.Ready && !peer.Digest.Stopping {
@@ -34,11 +66,7 @@
 		}
 	}
 	slices.SortFunc(gateways, func(a, b peering.Member) int { return cmp.Compare(a.Name, b.Name) })
-	if o.view == view && slices.Equal(o.gateways, gateways) {
-		return
-	}
-	o.view, o.gateways = view, gateways
-	o.owners = assignOwners(usableEndpoints(view, service), gateways)
+	return gateways
 }
 
 // usableEndpoints returns the endpoints of a service that are neither draining nor in an
--- a/internal/dispatch/ownership_test.go
+++ b/internal/dispatch/ownership_test.go
@@ -29,6 +29,9 @@
 	return list
 }
 
+// wholeFleet is the assignment of a fleet that is one cell.
+func wholeFleet() func(id, region string) bool { return nil }
+
 // countOwned returns how many endpoints each gateway owns, and how many of them are in its
 // own availability zone.
 func countOwned(endpoints []clusterstate.Endpoint, gateways []peering.Member) (owned, sameZone []int) {
@@ -85,7 +88,7 @@
 			peers = append(peers, peering.Peer{Digest: peering.Digest{Member: gateways[(index+offset)%len(gateways)], Ready: true}})
 		}
 		var o ownership
-		o.update(store.View(), "drafts", self, peers)
+		o.update(store.View(), "drafts", readyGateways(self, peers), wholeFleet, time.Now())
 		ownersByGateway = append(ownersByGateway, o.owners)
 	}
 	for _, owners := range ownersByGateway[1:] {
@@ -103,13 +106,13 @@
 	gateways := gatewaysIn("ab")
 	peers := []peering.Peer{{Digest: peering.Digest{Member: gateways[1], Ready: true}}}
 	var o ownership
-	o.update(store.View(), "drafts", gateways[0], peers)
+	o.update(store.View(), "drafts", readyGateways(gateways[0], peers), wholeFleet, time.Now())
 	before := o.ownedBy("gateway-0")
 	store.SetEvacuatedZones(map[string]bool{"a": true})
-	o.update(store.View(), "drafts", gateways[0], peers)
+	o.update(store.View(), "drafts", readyGateways(gateways[0], peers), wholeFleet, time.Now())
 	evacuated := o.ownedBy("gateway-0")
 	peers[0].Digest.Stopping = true
-	o.update(store.View(), "drafts", gateways[0], peers)
+	o.update(store.View(), "drafts", readyGateways(gateways[0], peers), wholeFleet, time.Now())
 	withoutPeer := o.ownedBy("gateway-0")
 	want := [][]string{{"endpoint-00", "endpoint-01"}, {"endpoint-03"}, {"endpoint-02", "endpoint-03"}}
 	if diff := cmp.Diff(want, [][]string{before, evacuated, withoutPeer}); diff != "" {
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -7,8 +7,8 @@
 	"github.com/mimosaward/mimosaward/internal/configuration"
 )
 
-// admit assigns the job to an endpoint, queues it, or refuses it.
-func (d *Dispatcher) admit(service *serviceState, queued *queuedJob, now time.Time) {
+// admit assigns the job to an endpoint, queues it if mayQueue is set, or refuses it.
+func (d *Dispatcher) admit(service *serviceState, queued *queuedJob, mayQueue bool, now time.Time) {
 	config, exists := d.Service(queued.job.Service)
 	if !exists {
 		queued.refuse(&Refusal{Reason: NoEndpoint, RetryAfter: noEndpointRetryAfter})
@@ -24,7 +24,7 @@
 		return
 	}
 	queued.deadline = queueDeadline(config, queued.job, now)
-	if !queued.deadline.After(now) {
+	if !mayQueue || !queued.deadline.After(now) {
 		queued.refuse(&Refusal{Reason: Overloaded, RetryAfter: overloadedRetryAfter})
 		return
 	}
@@ -98,8 +98,9 @@
 	best.state.running++
 	best.state.pendingPrefill += job.PromptTokens
 	best.state.recordSend(now, job.PromptTokens)
+	local := &localGrant{dispatcher: d, state: best.state, endpoint: *best.endpoint, job: job, prefillPending: true}
 	queued.accept(&Grant{
-		Endpoint: *best.endpoint, Version: job.Version, dispatcher: d, state: best.state, job: job, prefillPending: true,
+		Endpoint: *best.endpoint, Version: job.Version, grantedAt: now, record: local.apply,
 		Decision: Decision{
 			Running: best.running, PendingPrefill: best.pendingPrefill, DigestAge: best.digestAge, PredictedLatency: best.predicted,
 			QueueTime: now.Sub(queued.enqueuedAt), Owned: best.ownedBySelf, Candidates: count,
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -43,10 +43,11 @@
 // snapshots share one buffer.
 func (d *Dispatcher) snapshotEndpoints(config *configuration.Service, now time.Time) []endpointSnapshot {
 	view := d.View()
+	owners := d.engineOwnership(view, config, now)
 	d.snapshots = d.snapshots[:0]
 	endpoints := view.ServiceEndpoints(config.Name)
 	for index := range endpoints {
-		if snapshot, usable := d.newSnapshot(view, config, &endpoints[index], now); usable {
+		if snapshot, usable := d.newSnapshot(view, config, owners, &endpoints[index], now); usable {
 			d.snapshots = append(d.snapshots, snapshot)
 		}
 	}
@@ -57,23 +58,33 @@
 // endpoint may not receive requests now. It uses the buffer of snapshotEndpoints.
 func (d *Dispatcher) snapshotEndpoint(config *configuration.Service, id string, now time.Time) []endpointSnapshot {
 	view := d.View()
+	owners := d.engineOwnership(view, config, now)
 	d.snapshots = d.snapshots[:0]
 	endpoints := view.ServiceEndpoints(config.Name)
 	for index := range endpoints {
 		if endpoints[index].ID != id {
 			continue
 		}
-		if snapshot, usable := d.newSnapshot(view, config, &endpoints[index], now); usable {
+		if snapshot, usable := d.newSnapshot(view, config, owners, &endpoints[index], now); usable {
 			d.snapshots = append(d.snapshots, snapshot)
 		}
 	}
 	return d.snapshots
 }
 
+// engineOwnership returns the ownership of the endpoints of a service, nil if the service
+// has no engines.
+func (d *Dispatcher) engineOwnership(view *clusterstate.View, config *configuration.Service, now time.Time) *ownership {
+	if config.Engine == nil {
+		return nil
+	}
+	return d.ownershipOf(view, config.Name, now)
+}
+
 // newSnapshot returns a snapshot of an endpoint, and false if the endpoint may not receive
-// requests.
-func (d *Dispatcher) newSnapshot(view *clusterstate.View, config *configuration.Service, endpoint *clusterstate.Endpoint, now time.Time) (endpointSnapshot, bool) {
-	if endpoint.Draining || view.Evacuated(endpoint.AvailabilityZone) {
+// requests. owners is nil if the service has no engines.
+func (d *Dispatcher) newSnapshot(view *clusterstate.View, config *configuration.Service, owners *ownership, endpoint *clusterstate.Endpoint, now time.Time) (endpointSnapshot, bool) {
+	if endpoint.Draining || view.Evacuated(endpoint.AvailabilityZone) || (owners != nil && !owners.inCell[endpoint.ID]) {
 		return endpointSnapshot{}, false
 	}
 	state := d.state(endpoint.ID)
@@ -82,8 +93,8 @@
 		return endpointSnapshot{}, false
 	}
 	snapshot := endpointSnapshot{endpoint: endpoint, state: state, degraded: state.health.degraded(now), distance: d.distance(endpoint), pace: state.pace(endpoint, now)}
-	if config.Engine != nil {
-		snapshot.owner = d.ownershipOf(view, config.Name).owners[endpoint.ID]
+	if owners != nil {
+		snapshot.owner = owners.owners[endpoint.ID]
 		snapshot.ownedBySelf = snapshot.owner == d.Self.Name
 	}
 	snapshot.running, snapshot.pendingPrefill, snapshot.digestAge = state.totalLoad(now, d.demandRatios)
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -99,6 +99,9 @@
 	RequestSent        = Event{4101, logrus.InfoLevel, "request sent to an endpoint", noAction}
 	RequestEnded       = Event{4102, logrus.InfoLevel, "request ended", noAction}
 	RequestRefused     = Event{4103, logrus.InfoLevel, "request refused", "Check the reason in the record."}
+	EndpointLent       = Event{4105, logrus.InfoLevel, "endpoint granted to a request of another cell", noAction}
+	EndpointNotLent    = Event{4106, logrus.InfoLevel, "no endpoint granted to a request of another cell", "Check the reason in the record."}
+	LenderUnreachable  = Event{4107, logrus.WarnLevel, "gateway of another cell does not respond", "If this repeats, check that gateway and the network to it."}
 	AttemptFailed      = Event{4104, logrus.WarnLevel, "endpoint failed to serve a request", "If this repeats for an endpoint, check the endpoint and the network to it."}
 	OutcomeUnknown     = Event{4005, logrus.WarnLevel, "outcome of a non-idempotent request is unknown", "The caller received the outcome; the idempotency key stays claimed. Check whether the service executed the request."}
 )
@@ -112,6 +115,6 @@
 		GatewayAlive, GatewayUnresponsive, SnapshotAdopted, SnapshotFailed,
 		RolloutStarted, SetComplete, ChunkCorrupt, PeerExcluded, LoadOrdered, LoadFailed, LoadCompleted, ManifestFailed,
 		ChunkMemoryTooSmall, SwapWaiting, RolloutAbandoned, EngineUnreachable, EngineReachable, GatewaysUnreachable, GatewaysReachable,
-		EndpointCold, ResponseMismatched, StreamResumed, StreamAborted, OutcomeUnknown, LoaderUnreachable, LoaderReachable, RequestSent, RequestEnded, RequestRefused, AttemptFailed,
+		EndpointCold, ResponseMismatched, StreamResumed, StreamAborted, OutcomeUnknown, LoaderUnreachable, LoaderReachable, RequestSent, RequestEnded, RequestRefused, AttemptFailed, EndpointLent, EndpointNotLent, LenderUnreachable,
 	}
 }
--- a/internal/event/queue.go
+++ b/internal/event/queue.go
@@ -8,6 +8,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/mimosaward/mimosaward/internal/boundedqueue"
+	"github.com/mimosaward/mimosaward/internal/concurrency"
 )
 
 const (
@@ -55,7 +56,7 @@
 // Run writes queued records until ctx is done, and then the remaining ones.
 func (l *Logger) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		intervalCtx, cancel := context.WithTimeout(ctx, summaryInterval)
+		intervalCtx, cancel := context.WithTimeout(ctx, concurrency.UntilTick(summaryInterval))
 		for {
 			rec, err := l.queue.records.Take(intervalCtx)
 			if err != nil {
--- /dev/null
+++ b/internal/gateway/borrow.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/mimosaward/mimosaward/internal/concurrency"
+	"github.com/mimosaward/mimosaward/internal/dispatch"
+	"github.com/mimosaward/mimosaward/internal/event"
+	"github.com/mimosaward/mimosaward/internal/peering"
+)
+
+const (
+	// lendTimeout bounds how long a gateway decides on a job of another cell. It exceeds
+	// the time for which a job is queued.
+	lendTimeout = 250 * time.Millisecond
+	// lendMargin is added to lendTimeout to get the timeout of the call.
+	lendMargin = 150 * time.Millisecond
+	// outcomeTimeout bounds the report of an outcome. If it is lost, the owner of the
+	// endpoint counts the job until its deadline.
+	outcomeTimeout = 400 * time.Millisecond
+	// expiryInterval is how often expired grants are released.
+	expiryInterval = 200 * time.Millisecond
+)
+
+// remotePeers returns the latest reports on the live gateways of other cells.
+func (g *Gateway) remotePeers() []peering.Peer { return g.peerTable.RemotePeers() }
+
+// acquireRemote asks a gateway of another cell for an endpoint for the job.
+func (g *Gateway) acquireRemote(ctx context.Context, lender peering.Member, job *dispatch.Job) (*dispatch.Grant, *dispatch.Refusal, error) {
+	now := time.Now()
+	args := AcquireArgs{Gateway: g.self.Name, Job: *job, UntilDeadline: job.Deadline.Sub(now), UntilTarget: job.TargetTime.Sub(now)}
+	callCtx, cancel := context.WithTimeout(ctx, lendTimeout+lendMargin)
+	defer cancel()
+	var reply AcquireReply
+	if err := g.controlClient.Call(callCtx, lender.Control, acquireMethod, &args, &reply); err != nil {
+		g.Log.Emit(event.LenderUnreachable, event.Fields{"request": job.ID, "gateway": lender.Name, "afterMs": time.Since(now).Milliseconds(), "error": err.Error()})
+		return nil, nil, err
+	}
+	if reply.GrantID == 0 {
+		return nil, &reply.Refusal, nil
+	}
+	decision := reply.Decision
+	decision.Lender, decision.Owned = lender.Name, false
+	return dispatch.NewRemoteGrant(reply.Endpoint, reply.Version, decision, func(outcome dispatch.Outcome) {
+		g.tasks.Go(func(ctx context.Context) {
+			g.reportOutcome(ctx, lender, OutcomeArgs{GrantID: reply.GrantID, Outcome: outcome})
+		})
+	}), nil, nil
+}
+
+// reportOutcome reports the outcome of a job to the gateway that granted its endpoint.
+func (g *Gateway) reportOutcome(ctx context.Context, lender peering.Member, args OutcomeArgs) {
+	ctx, cancel := context.WithTimeout(ctx, outcomeTimeout)
+	defer cancel()
+	if err := g.controlClient.Call(ctx, lender.Control, outcomeMethod, &args, new(bool)); err != nil {
+		g.Log.Emit(event.LenderUnreachable, event.Fields{"gateway": lender.Name, "error": err.Error()})
+	}
+}
+
+// expireGrants releases the expired grants to other gateways until ctx is done.
+func (g *Gateway) expireGrants(ctx context.Context) {
+	for concurrency.Tick(ctx, expiryInterval) {
+		g.lender.releaseExpired()
+	}
+}
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -29,14 +29,14 @@
 	body, err := a.exchange.ReadAll(r.deadline)
 	if err != nil {
 		a.discard()
-		a.grant.RecordFailure()
+		a.grant.Record(dispatch.Failed)
 		r.refuse(possiblyExecuted("answerBroken"))
 		return
 	}
 	if a.response.Status >= fasthttp.StatusInternalServerError {
-		a.grant.RecordError()
+		a.grant.Record(dispatch.Errored)
 	} else {
-		a.grant.RecordResponse()
+		a.grant.Record(dispatch.Responded)
 	}
 	platform.CopyResponseHeader(&r.httpCtx.Response.Header, a.exchange.Header())
 	r.httpCtx.Response.SetBody(body)
@@ -50,7 +50,7 @@
 func (r *request) sendWithRetries(job *dispatch.Job) (*attempt, *refusal) {
 	lastRefusal := notExecuted(dispatch.NoEndpoint, defaultRetryAfter)
 	for attempts, unsent := 0, 0; ; {
-		grant, refused := r.gateway.dispatcher.Acquire(r.ctx, job)
+		grant, refused := r.gateway.federation.Acquire(r.ctx, job)
 		if refused != nil {
 			if attempts == 0 {
 				lastRefusal = notExecuted(refused.Reason, refused.RetryAfter)
@@ -97,16 +97,16 @@
 func (r *request) recordFailure(grant *dispatch.Grant, failed *failure, lastRefusal *refusal) *refusal {
 	switch {
 	case failed.mayHaveRun:
-		grant.RecordFailure()
+		grant.Record(dispatch.Failed)
 		return possiblyExecuted("endpointFailed")
 	case failed.misdirected:
-		grant.RecordMisdirected()
+		grant.Record(dispatch.Misdirected)
 		return notExecuted(dispatch.NoEndpoint, defaultRetryAfter)
 	case failed.sent:
-		grant.RecordRefusal()
+		grant.Record(dispatch.Refused)
 		return notExecuted(dispatch.Overloaded, defaultRetryAfter)
 	default:
-		grant.RecordFailure()
+		grant.Record(dispatch.Failed)
 		return lastRefusal
 	}
 }
--- a/internal/gateway/collectors.go
+++ b/internal/gateway/collectors.go
@@ -47,8 +47,7 @@
 		out <- prometheus.MustNewConstMetric(endpointFailureRate, prometheus.GaugeValue, stats.FailureRate, stats.ID)
 		out <- prometheus.MustNewConstMetric(endpointStatusAge, prometheus.GaugeValue, stats.StatusAge.Seconds(), stats.ID)
 	}
-	_, demands := c.dispatcher.LocalLoad()
-	for _, demand := range demands {
+	for _, demand := range c.dispatcher.Demands() {
 		out <- prometheus.MustNewConstMetric(serviceQueued, prometheus.GaugeValue, float64(demand.Waiting), demand.Service)
 		out <- prometheus.MustNewConstMetric(serviceDemand, prometheus.GaugeValue, demand.Rate, demand.Service)
 	}
--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -8,8 +8,8 @@
 
 // digest returns the load report that the gateway sends to its peers.
 func (g *Gateway) digest() peering.Digest {
-	digest := peering.Digest{Ready: g.ready(), Stopping: g.drain.started()}
-	digest.Loads, digest.Demands = g.dispatcher.LocalLoad()
+	digest := peering.Digest{Ready: g.ready(), Stopping: g.drain.started(), ReadsStore: g.peerTable.IsReader() && g.observer.StoreAvailable()}
+	g.dispatcher.AddTo(&digest)
 	for _, rollout := range g.observer.Rollouts().All() {
 		digest.Rollouts = append(digest.Rollouts, peering.Rollout{Model: rollout.Model, Version: rollout.Version, Age: time.Since(rollout.Since)})
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,6 +62,9 @@
 
 	observer      *storewatch.Observer
 	dispatcher    *dispatch.Dispatcher
+	federation    *dispatch.Federation
+	lender        *lender
+	tasks         *concurrency.Group
 	pool          *connpool.Pool
 	retries       *retry.Budget
 	bounds        atomic.Pointer[deployment.Bounds]
@@ -84,8 +87,9 @@
 	if err != nil {
 		return err
 	}
-	group := concurrency.NewGroup(context.Background())
+	group := g.tasks
 	group.Go(g.observer.Run)
+	group.Go(g.expireGrants)
 	group.Go(func(ctx context.Context) { g.controlServer.Run(ctx, controlListener) })
 	group.Go(g.register)
 	group.Go(g.pollLoaders)
@@ -136,13 +140,17 @@
 		Callers: g.Deployment.Listen.Clients, Control: g.Deployment.Listen.Control, Incarnation: time.Now().UnixMilli(),
 	}
 	g.store = platform.NewStore(g.Deployment.Store.Address, g.DialStore)
-	g.peerTable = &peering.Table{Self: instance.Name}
-	g.observer = (&storewatch.Observer{List: g.store.List, Watch: g.store.Watch, Regions: g.Deployment.Regions, Log: g.Log}).Init()
+	g.peerTable = &peering.Table{Self: g.self}
+	g.observer = (&storewatch.Observer{List: g.store.List, Watch: g.store.Watch, Reads: g.peerTable.IsReader, Regions: g.Deployment.Regions, Log: g.Log}).Init()
 	informers := g.observer.Informers()
 	g.observer.AddInformer(gatewayKind, g.applyMembers)
 	g.dispatcher = &dispatch.Dispatcher{
-		Self: g.self, View: g.observer.ClusterState, Service: g.lookUpService, MinVersion: g.minVersion, Peers: g.peerTable.Alive,
+		Self: g.self, View: g.observer.ClusterState, Service: g.lookUpService, MinVersion: g.minVersion, Peers: g.peerTable.CellPeers,
+		CellEndpoints: g.peerTable.CellEndpoints,
 	}
+	g.federation = &dispatch.Federation{Local: g.dispatcher, Remotes: g.remotePeers, AcquireRemote: g.acquireRemote}
+	g.lender = &lender{acquire: g.dispatcher.Acquire, log: g.Log}
+	g.tasks = concurrency.NewGroup(context.Background())
 	g.controlClient = &controlrpc.Client{Dial: g.Dial}
 	g.peering = &peering.Peering{
 		Self: g.self, Table: g.peerTable, Control: g.controlClient, BulkControl: &controlrpc.Client{Dial: g.Dial}, Log: g.Log,
@@ -162,6 +170,9 @@
 	if err := g.controlServer.Register(loader.PlanService, &planService{gateway: g}); err != nil {
 		return nil, errors.Wrap(err, "register the plan service")
 	}
+	if err := g.controlServer.Register(lendingService, g.lender); err != nil {
+		return nil, errors.Wrap(err, "register the lending service")
+	}
 	listener, err := g.Listen(g.self.Control)
 	return listener, errors.Wrap(err, "listen on the control address")
 }
--- a/internal/gateway/loaders.go
+++ b/internal/gateway/loaders.go
@@ -116,28 +116,51 @@
 	p.Log.Emit(event.LoaderReachable, event.Fields{"endpoint": endpoint})
 }
 
-// pollLoaders polls the loaders of all endpoints whose service has engines, and follows
-// changes of the object store until ctx is done.
+// pollLoaders polls the loaders of the engines that this gateway owns, until ctx is done.
 func (g *Gateway) pollLoaders(ctx context.Context) {
 	group := concurrency.NewGroup(ctx)
 	defer group.Wait()
 	defer group.Stop()
 	for ctx.Err() == nil {
 		changed := g.observer.Changed()
-		var endpoints []clusterstate.Endpoint
-		if config := g.observer.Configuration(); config != nil {
-			for _, service := range config.Services() {
-				if service.Engine != nil {
-					endpoints = append(endpoints, g.observer.ClusterState().ServiceEndpoints(service.Name)...)
-				}
-			}
+		g.loaderPoller.setEndpoints(group, g.ownedEngines())
+		waitForChange(ctx, changed, concurrency.UntilTick(ownershipCheckInterval))
+	}
+}
+
+// ownedEngines returns the engines whose loaders this gateway polls.
+func (g *Gateway) ownedEngines() []clusterstate.Endpoint {
+	config := g.observer.Configuration()
+	if config == nil {
+		return nil
+	}
+	var engines []clusterstate.Endpoint
+	for _, service := range config.Services() {
+		if service.Engine == nil {
+			continue
 		}
-		g.loaderPoller.setEndpoints(group, endpoints)
-		select {
-		case <-changed:
-		case <-ctx.Done():
+		owned := g.dispatcher.OwnedEndpoints(service.Name)
+		for _, endpoint := range g.observer.ClusterState().ServiceEndpoints(service.Name) {
+			if owned[endpoint.ID] {
+				engines = append(engines, endpoint)
+			}
 		}
 	}
+	return engines
+}
+
+// ownershipCheckInterval is how often the owned engines are determined again, since they
+// also depend on which gateways are alive.
+const ownershipCheckInterval = 200 * time.Millisecond
+
+func waitForChange(ctx context.Context, changed <-chan struct{}, timeout time.Duration) {
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
 }
 
 // loaderPlan returns the plan of a service's loaders.
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -35,7 +35,7 @@
 // the times survive a restart of gateways, even of all at once. Gateways are delayed by
 // their rank, so that usually only one writes.
 func (g *Gateway) maintainHistory(ctx context.Context) {
-	for concurrency.Sleep(ctx, historyInterval) {
+	for concurrency.Tick(ctx, historyInterval) {
 		for name, object := range g.observer.RolloutObjects() {
 			model, version, err := platform.DecodeRollout(object.Value)
 			if err != nil {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/mimosaward/mimosaward/internal/dispatch"
 	"github.com/mimosaward/mimosaward/internal/eventstream"
 	"github.com/mimosaward/mimosaward/platform"
 )
@@ -32,7 +33,7 @@
 		r.refuse(possiblyExecuted("streamBroken"))
 		return
 	}
-	a.grant.RecordResponse()
+	a.grant.Record(dispatch.Responded)
 	relay.pending = event.Raw
 	relay.err = err
 	relay.timeToFirst = time.Since(r.arrived)
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -21,6 +21,8 @@
 	// object store must be detected.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
+	// passiveInterval is how often an informer that does not read checks whether it must.
+	passiveInterval = 100 * time.Millisecond
 )
 
 // Informer keeps a copy of the objects of one kind. Set the exported fields before
@@ -34,6 +36,9 @@
 	List func(ctx context.Context, kind, after string) (Page, error)
 	// Watch returns the changes after a revision. It blocks until there is a change.
 	Watch func(ctx context.Context, kind string, after int64) (Batch, error)
+	// Reads reports whether this process reads the object API. If not, the copy changes
+	// only through AdoptSnapshot, after a first list. A nil Reads means true.
+	Reads func() bool
 	// OnChange is called after each change of the copy. Calls do not overlap.
 	OnChange func(Snapshot)
 	// OnAvailability is called when the object API becomes available or unavailable.
@@ -81,6 +86,14 @@
 	return i.unavailableSince, i.availableSince
 }
 
+// Passive reports whether the informer has a copy and does not read the object API.
+func (i *Informer) Passive() bool {
+	i.mu.Lock()
+	synced := i.synced
+	i.mu.Unlock()
+	return synced && i.Reads != nil && !i.Reads()
+}
+
 // AdoptSnapshot replaces the copy by a newer one from a peer and reports whether any
 // object changed. A snapshot that is not newer is ignored.
 func (i *Informer) AdoptSnapshot(snapshot Snapshot) bool {
@@ -102,6 +115,10 @@
 func (i *Informer) Run(ctx context.Context) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
+		if i.Passive() {
+			concurrency.Tick(ctx, passiveInterval)
+			continue
+		}
 		err := i.syncOnce(ctx)
 		switch {
 		case ctx.Err() != nil:
--- a/internal/peering/copysync.go
+++ b/internal/peering/copysync.go
@@ -14,7 +14,7 @@
 // receives changes.
 func (p *Peering) SyncCopies(ctx context.Context) {
 	p.behindSince = map[string]time.Time{}
-	for concurrency.Sleep(ctx, exchangeInterval) {
+	for concurrency.Tick(ctx, exchangeInterval) {
 		for _, local := range p.Informers {
 			if newest, ok := p.findNewerCopy(local); ok {
 				p.fetchCopy(ctx, local, newest)
@@ -28,7 +28,7 @@
 func (p *Peering) findNewerCopy(local *informer.Informer) (Member, bool) {
 	localRevision := local.Revision()
 	var newest Peer
-	for _, peer := range p.Table.Alive() {
+	for _, peer := range p.Table.CellPeers() {
 		if peer.Digest.Revisions[local.Kind] > max(localRevision, newest.Digest.Revisions[local.Kind]) {
 			newest = peer
 		}
@@ -39,10 +39,10 @@
 	}
 	start, tracked := p.behindSince[local.Kind]
 	if !tracked {
-		p.behindSince[local.Kind] = time.Now()
-		return Member{}, false
+		start = time.Now()
+		p.behindSince[local.Kind] = start
 	}
-	return newest.Digest.Member, time.Since(start) >= copyFetchDelay
+	return newest.Digest.Member, local.Passive() || time.Since(start) >= copyFetchDelay
 }
 
 // fetchCopy replaces the local copy by a newer one of another gateway.
--- a/internal/peering/digest.go
+++ b/internal/peering/digest.go
@@ -1,6 +1,10 @@
 package peering
 
-import "time"
+import (
+	"time"
+
+	"github.com/mimosaward/mimosaward/internal/engine"
+)
 
 // Member describes a gateway to its peers.
 type Member struct {
@@ -28,12 +32,37 @@
 	Loads []Load
 	// Demands describes the gateway's requests for each service.
 	Demands []Demand
+	// Capacities describes the endpoints that the gateway owns.
+	Capacities []Capacity
+	// Statuses holds what the loaders of the endpoints that the gateway owns reported.
+	Statuses []EndpointStatus
+	// Reports describes other cells. Only some digests include it.
+	Reports []Report
 	// Rollouts lists the model versions known to the gateway, with their ages.
 	Rollouts []Rollout
-	// Others lists the other gateways that are alive. Only some digests include them.
+	// ReadsStore is true while the gateway reads the object store and it responds.
+	ReadsStore bool
+	// Others lists other gateways that are alive. Only some digests include them.
 	Others []Member
-	// AskOthers requests a reply that includes Others.
-	AskOthers bool
+	// AskOthers requests a reply that includes Others, AskReports one that includes
+	// Reports.
+	AskOthers  bool
+	AskReports bool
+}
+
+// idle reports whether the gateway has no requests, at endpoints or in queues.
+func (d *Digest) idle() bool {
+	for _, load := range d.Loads {
+		if load.Running > 0 {
+			return false
+		}
+	}
+	for _, demand := range d.Demands {
+		if demand.Waiting > 0 {
+			return false
+		}
+	}
+	return true
 }
 
 // Rollout is a model version that the operators requested.
@@ -57,6 +86,16 @@
 	LentTo string
 }
 
+// EndpointStatus is the status of an engine as its loader reported it.
+type EndpointStatus struct {
+	Endpoint string
+	Status   engine.Status
+	// Responding is true if the engine responded to its loader.
+	Responding bool
+	// Age is the time since the status was received.
+	Age time.Duration
+}
+
 // Demand describes the request load of a gateway for a service.
 type Demand struct {
 	Service string
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,6 +26,8 @@
 	// crossRegionInterval is the interval between digests of gateways in different
 	// regions, which have low-bandwidth links.
 	crossRegionInterval = 200 * time.Millisecond
+	// idleInterval is the interval between digests of two gateways without requests.
+	idleInterval = 300 * time.Millisecond
 	// digestsPerMemberList is the number of digests per digest that lists the other
 	// gateways: these rarely change and make up most of the bytes of a digest.
 	digestsPerMemberList = 10
@@ -43,6 +46,7 @@
 	serviceName    = "Gateway"
 	exchangeMethod = serviceName + ".Exchange"
 	copyMethod     = serviceName + ".Copy"
+	reportMethod   = serviceName + ".Report"
 )
 
 // Peering exchanges digests with the other gateways. Set the exported fields before
@@ -54,8 +58,8 @@
 	// BulkControl transfers copies, so that digests are not delayed behind them.
 	BulkControl *controlrpc.Client
 	Log         *event.Logger
-	// Digest returns the digest to send. Peering sets its Member, Revisions, Others and
-	// AskOthers.
+	// Digest returns the digest to send. Peering sets its Member, Revisions, Reports,
+	// Others and AskOthers.
 	Digest func() Digest
 	// Informers hold the copies of objects that gateways fetch from each other.
 	Informers []*informer.Informer
@@ -64,6 +68,9 @@
 	// OnDigest is called with each digest received from another gateway.
 	OnDigest func(Digest)
 
+	// idle is true if the last local digest reported no requests.
+	idle atomic.Bool
+
 	mu         sync.Mutex
 	exchanging map[string]bool
 	// lastAlive holds the gateways that were alive at the last check. Only Run uses it.
@@ -83,11 +90,18 @@
 	peering *Peering
 }
 
-// Exchange receives a digest and replies with the local one, which lists the other
-// gateways if the received digest requests them.
+// Exchange receives a digest and replies with the local one, which includes what the
+// received digest requests.
 func (s *service) Exchange(args, reply *Digest) error {
 	s.peering.receiveDigest(*args)
-	*reply = s.peering.newDigest(args.AskOthers)
+	*reply = s.peering.newDigest(args.AskOthers, args.AskReports)
+	return nil
+}
+
+// Report receives a report on another cell and replies with one on the local cell.
+func (s *service) Report(args, reply *Report) error {
+	s.peering.Table.recordReport(*args, true)
+	*reply = s.peering.newReport()
 	return nil
 }
 
@@ -123,19 +137,21 @@
 			group.Go(func(ctx context.Context) { p.contactSeed(ctx, seed) })
 		}
 	}
+	group.Go(p.exchangeReports)
 	for ctx.Err() == nil {
-		for _, member := range p.Table.Members() {
+		p.Table.removeExpired()
+		for _, member := range p.Table.CellMembers() {
 			p.startExchangeLoop(group, member.Name)
 		}
 		p.logAliveChanges()
-		concurrency.Sleep(ctx, exchangeInterval)
+		concurrency.Tick(ctx, exchangeInterval)
 	}
 }
 
 // contactSeed exchanges digests with a seed address until another gateway is known.
 func (p *Peering) contactSeed(ctx context.Context, address string) {
 	for len(p.Table.Members()) == 0 && ctx.Err() == nil {
-		p.exchange(ctx, address, true)
+		p.exchange(ctx, address, true, false)
 		concurrency.Sleep(ctx, 2*exchangeInterval)
 	}
 }
@@ -156,7 +172,7 @@
 	})
 }
 
-// runExchangeLoop exchanges digests with a gateway until its table entry expires. Of
+// runExchangeLoop exchanges digests with a gateway while it is in the local cell. Of
 // two gateways, the one with the lower name initiates the exchange; the other one does
 // so only after callTakeoverIntervals intervals without a digest.
 func (p *Peering) runExchangeLoop(ctx context.Context, name string) {
@@ -165,19 +181,28 @@
 		if !exists {
 			return
 		}
-		period := exchangeInterval
-		if member.Region != p.Self.Region {
-			period = crossRegionInterval
-		}
+		period := p.exchangePeriod(member)
 		if p.Self.Name < name || p.Table.SinceLastDigest(name) > callTakeoverIntervals*period {
-			p.exchange(ctx, member.Control, round%digestsPerMemberList == 0)
+			p.exchange(ctx, member.Control, round%digestsPerMemberList == 0, round%digestsPerReport == 0)
 		}
-		concurrency.Sleep(ctx, period)
+		concurrency.Tick(ctx, period)
+	}
+}
+
+// exchangePeriod returns the interval between digests with a gateway.
+func (p *Peering) exchangePeriod(member Member) time.Duration {
+	switch {
+	case p.idle.Load() && p.Table.idle(member.Name):
+		return idleInterval
+	case member.Region != p.Self.Region:
+		return crossRegionInterval
+	default:
+		return exchangeInterval
 	}
 }
 
 func (p *Peering) lookupMember(name string) (Member, bool) {
-	for _, member := range p.Table.Members() {
+	for _, member := range p.Table.CellMembers() {
 		if member.Name == name {
 			return member, true
 		}
@@ -185,10 +210,10 @@
 	return Member{}, false
 }
 
-func (p *Peering) exchange(ctx context.Context, address string, withOthers bool) {
+func (p *Peering) exchange(ctx context.Context, address string, withOthers, withReports bool) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	args := p.newDigest(withOthers)
+	args := p.newDigest(withOthers, withReports)
 	var reply Digest
 	if err := p.Control.Call(ctx, address, exchangeMethod, &args, &reply); err != nil {
 		// No logging here: the table records the time since the last digest, and
@@ -199,14 +224,12 @@
 }
 
 // newDigest returns the digest to send to another gateway.
-func (p *Peering) newDigest(withOthers bool) Digest {
-	digest := p.Digest()
-	digest.Member = p.Self
-	digest.Revisions = map[string]int64{}
-	for _, local := range p.Informers {
-		digest.Revisions[local.Kind] = local.Revision()
+func (p *Peering) newDigest(withOthers, withReports bool) Digest {
+	digest := p.localDigest()
+	digest.AskOthers, digest.AskReports = withOthers, withReports
+	if withReports {
+		digest.Reports = p.Table.directReports()
 	}
-	digest.AskOthers = withOthers
 	if withOthers {
 		for _, peer := range p.Table.Alive() {
 			digest.Others = append(digest.Others, peer.Digest.Member)
@@ -215,6 +238,18 @@
 	return digest
 }
 
+// localDigest returns the digest without the parts that describe other gateways.
+func (p *Peering) localDigest() Digest {
+	digest := p.Digest()
+	digest.Member = p.Self
+	p.idle.Store(digest.idle())
+	digest.Revisions = map[string]int64{}
+	for _, local := range p.Informers {
+		digest.Revisions[local.Kind] = local.Revision()
+	}
+	return digest
+}
+
 func (p *Peering) receiveDigest(digest Digest) {
 	p.Table.RecordDigest(digest)
 	p.OnDigest(digest)
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -35,7 +35,7 @@
 	self := newMember(index, incarnation)
 	host := network.ForProcess(self.Name)
 	dial := func(_ context.Context, address string) (net.Conn, error) { return host.Dial(address) }
-	n := &node{table: &peering.Table{Self: self.Name}, group: concurrency.NewGroup(context.Background())}
+	n := &node{table: &peering.Table{Self: self}, group: concurrency.NewGroup(context.Background())}
 	peers := &peering.Peering{
 		Self: self, Table: n.table, Control: &controlrpc.Client{Dial: dial}, BulkControl: &controlrpc.Client{Dial: dial}, Log: event.Discard(),
 		Digest: func() peering.Digest { return peering.Digest{Ready: true} }, Seeds: []string{newMember(0, 0).Control}, OnDigest: func(peering.Digest) {},
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/mimosaward/mimosaward/internal/membership"
 )
 
 const (
@@ -12,6 +14,9 @@
 	// considered alive. It spans several digest intervals and is well below the time
 	// within which the directory must stop listing the gateway.
 	aliveTimeout = 1500 * time.Millisecond
+	// reportTimeout is the age of a report up to which the gateways of another cell are
+	// considered alive. Reports pass through one or two gateways.
+	reportTimeout = 2500 * time.Millisecond
 	// memberTTL is the time without a digest after which a gateway is removed and no
 	// longer called.
 	memberTTL = time.Minute
@@ -20,11 +25,16 @@
 // Table holds the state of the other gateways. It is safe for concurrent use. Set the
 // exported field before the first call.
 type Table struct {
-	// Self is the name of the local gateway.
-	Self string
+	// Self is the local gateway.
+	Self Member
 
 	mu    sync.Mutex
 	peers map[string]*tableEntry
+	// cells is nil after the members changed.
+	cells *Cells
+	// reports holds the newest report from each other cell. direct is true for those
+	// that a gateway of that cell sent itself.
+	reports map[string]storedReport
 }
 
 // tableEntry is the state of one other gateway.
@@ -32,12 +42,21 @@
 	member Member
 	// incarnationSeenAt is when the newest incarnation was added.
 	incarnationSeenAt time.Time
-	peer              Peer
+	// peer is the newest digest. Of a gateway in another cell, it holds only what reports
+	// contain.
+	peer Peer
+}
+
+// storedReport is a report with the time at which its contents were current.
+type storedReport struct {
+	report    Report
+	currentAt time.Time
+	direct    bool
 }
 
 // AddMember adds a gateway, or replaces it if member has a newer incarnation.
 func (t *Table) AddMember(member Member) {
-	if member.Name == t.Self || member.Name == "" || member.Control == "" {
+	if member.Name == t.Self.Name || member.Name == "" || member.Control == "" {
 		return
 	}
 	t.mu.Lock()
@@ -49,8 +68,8 @@
 	if existing != nil && existing.member.Incarnation >= member.Incarnation {
 		return
 	}
-	entry := &tableEntry{member: member, incarnationSeenAt: time.Now()}
-	t.peers[member.Name] = entry
+	t.peers[member.Name] = &tableEntry{member: member, incarnationSeenAt: time.Now()}
+	t.cells = nil
 }
 
 // RecordDigest records a digest received from another gateway and adds the gateways
@@ -60,31 +79,159 @@
 	for _, other := range digest.Others {
 		t.AddMember(other)
 	}
+	for _, report := range digest.Reports {
+		t.recordReport(report, false)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	entry := t.peers[digest.Member.Name]
 	if entry == nil || entry.member.Incarnation != digest.Member.Incarnation {
 		return
 	}
+	digest.Others, digest.Reports = nil, nil
 	entry.peer = Peer{Digest: digest, ReceivedAt: time.Now()}
 }
 
-// Members returns the gateways to call, ordered by name. It removes those that were
-// neither added nor sent a digest within memberTTL.
-func (t *Table) Members() []Member {
+// recordReport records the report of another cell. direct is true if a gateway of that
+// cell sent it.
+func (t *Table) recordReport(report Report, direct bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	currentAt := time.Now().Add(-report.Age)
+	cells := t.currentCells()
+	if report.Cell == "" || report.Cell == cells.Of(t.Self.Name) || !t.reports[report.Cell].currentAt.Before(currentAt) {
+		return
+	}
+	if t.reports == nil {
+		t.reports = map[string]storedReport{}
+	}
+	t.reports[report.Cell] = storedReport{report: report, currentAt: currentAt, direct: direct}
+	for _, summary := range report.Summaries {
+		entry := t.peers[summary.Name]
+		if entry == nil || summary.Incarnation < entry.member.Incarnation || cells.Of(summary.Name) != report.Cell {
+			continue
+		}
+		entry.member.Incarnation = summary.Incarnation
+		entry.peer = Peer{ReceivedAt: currentAt, Digest: Digest{
+			Member: entry.member, Ready: summary.Ready, Stopping: summary.Stopping, Capacities: summary.Capacities,
+		}}
+	}
+}
+
+// directReports returns the reports that gateways of other cells sent to this one.
+func (t *Table) directReports() []Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
+	var reports []Report
+	for _, stored := range t.reports {
+		if age := now.Sub(stored.currentAt); stored.direct && age <= reportTimeout {
+			report := stored.report
+			report.Age = age
+			reports = append(reports, report)
+		}
+	}
+	return reports
+}
+
+// ownReport returns the report on the local cell. self is the local digest.
+func (t *Table) ownReport(self Digest) Report {
+	report := Report{Cell: t.Cells().Of(t.Self.Name), Summaries: []Summary{self.summary()}}
+	for _, peer := range t.CellPeers() {
+		report.Summaries = append(report.Summaries, peer.Digest.summary())
+	}
+	return report
+}
+
+// Members returns the other gateways, ordered by name.
+func (t *Table) Members() []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	var members []Member
+	for _, entry := range t.peers {
+		members = append(members, entry.member)
+	}
+	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return members
+}
+
+// removeExpired removes the gateways that were neither added nor sent a digest within
+// memberTTL.
+func (t *Table) removeExpired() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
 	for name, entry := range t.peers {
 		if now.Sub(entry.incarnationSeenAt) > memberTTL && now.Sub(entry.peer.ReceivedAt) > memberTTL {
 			delete(t.peers, name)
-			continue
+			t.cells = nil
 		}
-		members = append(members, entry.member)
 	}
-	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
-	return members
+}
+
+// Cells returns the cells of all known gateways, alive or not.
+func (t *Table) Cells() *Cells {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.currentCells()
+}
+
+func (t *Table) currentCells() *Cells {
+	if t.cells == nil {
+		members := []Member{t.Self}
+		for _, entry := range t.peers {
+			members = append(members, entry.member)
+		}
+		t.cells = NewCells(members)
+	}
+	return t.cells
+}
+
+// CellEndpoints returns a function that reports whether the gateways of the local cell send
+// requests to an endpoint. It returns nil if they do so to every endpoint.
+func (t *Table) CellEndpoints() func(id, region string) bool {
+	cells := t.Cells()
+	if len(cells.Names()) == 1 {
+		return nil
+	}
+	own := cells.Of(t.Self.Name)
+	available := map[string]bool{own: true}
+	for _, peer := range t.Alive() {
+		if peer.Digest.Ready && !peer.Digest.Stopping {
+			available[cells.Of(peer.Digest.Member.Name)] = true
+		}
+	}
+	return func(id, region string) bool {
+		return cells.ForEndpoint(id, region, func(cell string) bool { return available[cell] }) == own
+	}
+}
+
+// IsReader reports whether this gateway reads the object store for its region's part of
+// the cell: fewer than readersPerRegion of the gateways that rank before it do.
+func (t *Table) IsReader() bool {
+	score := membership.Score(readerKey, t.Self.Name)
+	readers := 0
+	for _, peer := range t.CellPeers() {
+		digest := &peer.Digest
+		if digest.Member.Region == t.Self.Region && digest.ReadsStore && !digest.Stopping && membership.Score(readerKey, digest.Member.Name) > score {
+			readers++
+		}
+	}
+	return readers < readersPerRegion
+}
+
+const (
+	// readersPerRegion is the number of gateways of a cell that read the object store in
+	// each region: the others receive changes without delay while one of them fails.
+	readersPerRegion = 2
+	// readerKey is the key of the rendezvous order of readers.
+	readerKey = "reader"
+)
+
+// CellMembers returns the other gateways of the local cell, ordered by name.
+func (t *Table) CellMembers() []Member {
+	cells := t.Cells()
+	return slices.DeleteFunc(slices.Clone(cells.Members(cells.Of(t.Self.Name))), func(member Member) bool { return member.Name == t.Self.Name })
 }
 
 // SinceLastDigest returns the time since the last digest of a gateway, or memberTTL if
@@ -99,14 +246,43 @@
 	return time.Since(entry.peer.ReceivedAt)
 }
 
-// Alive returns the gateways that sent a digest within aliveTimeout, ordered by name.
-func (t *Table) Alive() []Peer {
+// idle reports whether the last digest of a gateway reported no requests.
+func (t *Table) idle(name string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	entry := t.peers[name]
+	return entry != nil && entry.peer.Digest.idle()
+}
+
+// Alive returns the gateways that are alive: those of the local cell that sent a digest
+// within aliveTimeout, and those of other cells that a report within reportTimeout lists.
+// They are ordered by name.
+func (t *Table) Alive() []Peer { return t.alive(func(string) bool { return true }) }
+
+// CellPeers returns the gateways of the local cell that are alive, ordered by name.
+func (t *Table) CellPeers() []Peer {
+	return t.alive(func(cell string) bool { return cell == t.cells.Of(t.Self.Name) })
+}
+
+// RemotePeers returns the gateways of other cells that are alive, ordered by name.
+func (t *Table) RemotePeers() []Peer {
+	return t.alive(func(cell string) bool { return cell != t.cells.Of(t.Self.Name) })
+}
+
+// alive returns the gateways that are alive in the cells that match.
+func (t *Table) alive(match func(cell string) bool) []Peer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
+	cells := t.currentCells()
+	ownCell := cells.Of(t.Self.Name)
 	var alive []Peer
-	for _, entry := range t.peers {
-		if !entry.peer.ReceivedAt.IsZero() && now.Sub(entry.peer.ReceivedAt) <= aliveTimeout {
+	for name, entry := range t.peers {
+		cell, timeout := cells.Of(name), aliveTimeout
+		if cell != ownCell {
+			timeout = reportTimeout
+		}
+		if match(cell) && !entry.peer.ReceivedAt.IsZero() && now.Sub(entry.peer.ReceivedAt) <= timeout {
 			alive = append(alive, entry.peer)
 		}
 	}
--- a/internal/simulation/caller.go
+++ b/internal/simulation/caller.go
@@ -65,7 +65,7 @@
 	if req.refusals > 0 {
 		job.TargetTime = now
 	}
-	grant, refusal := g.dispatcher.Acquire(ctx, job)
+	grant, refusal := g.federation.Acquire(ctx, job)
 	if refusal != nil {
 		concurrency.Sleep(ctx, r.Site.CallerDelay)
 		return refusal
@@ -84,7 +84,7 @@
 	concurrency.Sleep(ctx, delay)
 	if !host.engine.Submit(engineReq) {
 		concurrency.Sleep(ctx, delay)
-		grant.RecordRefusal()
+		grant.Record(dispatch.Refused)
 		return &dispatch.Refusal{Reason: dispatch.Overloaded, RetryAfter: time.Second}
 	}
 	var first, last time.Time
@@ -99,7 +99,7 @@
 				concurrency.Sleep(ctx, delay)
 				first = now
 				late = first.Sub(req.start) > req.kind.TargetLatency
-				grant.RecordResponse()
+				grant.Record(dispatch.Responded)
 			} else if now.Sub(last) > maxEventInterval {
 				late = true
 			}
@@ -110,7 +110,7 @@
 			}
 		case <-timeout.C:
 			host.engine.Cancel(engineReq)
-			grant.RecordFailure()
+			grant.Record(dispatch.Failed)
 			r.recordOutcome(req, outcomeFailed)
 			return nil
 		}
--- a/internal/simulation/run.go
+++ b/internal/simulation/run.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +31,8 @@
 	state    *clusterstate.Store
 	engines  []*engineHost
 	gateways []*gateway
+	cells    *peering.Cells
+	tasks    *concurrency.Group
 
 	mu    sync.Mutex
 	stats statistics
@@ -41,14 +45,18 @@
 	engine   *emulator.Engine
 }
 
-// gateway is a dispatcher with the latest digest of each peer.
+// gateway is a dispatcher with the latest digest of each peer of its cell and the latest
+// report on each gateway of other cells.
 type gateway struct {
 	name       string
 	zone       int
+	cell       string
 	dispatcher *dispatch.Dispatcher
+	federation *dispatch.Federation
 
-	mu    sync.Mutex
-	peers map[string]peering.Peer
+	mu      sync.Mutex
+	peers   map[string]peering.Peer
+	remotes map[string]peering.Peer
 }
 
 func (g *gateway) member() peering.Member {
@@ -66,6 +74,19 @@
 	return peers
 }
 
+// remotePeers returns the gateways of other cells that a report listed.
+func (g *gateway) remotePeers() []peering.Peer {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Collect(maps.Values(g.remotes))
+}
+
+func (g *gateway) receiveReport(digest peering.Digest) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.remotes[digest.Member.Name] = peering.Peer{Digest: digest, ReceivedAt: time.Now()}
+}
+
 func (g *gateway) receiveDigest(digest peering.Digest) {
 	g.mu.Lock()
 	g.peers[digest.Member.Name] = peering.Peer{Digest: digest, ReceivedAt: time.Now()}
@@ -75,15 +96,20 @@
 
 // Execute runs the pattern to its end and returns the summary of the outcomes.
 func (r *Run) Execute(ctx context.Context) Result {
+	r.tasks = concurrency.NewGroup(ctx)
 	r.prepare()
-	tasks := concurrency.NewGroup(ctx)
+	tasks := r.tasks
 	for _, host := range r.engines {
 		tasks.Go(host.engine.Run)
 	}
 	for _, from := range r.gateways {
 		for _, to := range r.gateways {
-			if from != to {
+			switch {
+			case from == to:
+			case from.cell == to.cell:
 				tasks.Go(func(ctx context.Context) { r.sendDigests(ctx, from, to) })
+			default:
+				tasks.Go(func(ctx context.Context) { r.sendReports(ctx, from, to) })
 			}
 		}
 	}
@@ -122,15 +148,24 @@
 			r.gateways = append(r.gateways, r.newGateway(zone, index))
 		}
 	}
+	var members []peering.Member
+	for _, g := range r.gateways {
+		members = append(members, g.member())
+	}
+	r.cells = peering.NewCells(members)
+	for _, g := range r.gateways {
+		g.cell = r.cells.Of(g.name)
+	}
 }
 
 func (r *Run) newGateway(zone, index int) *gateway {
-	g := &gateway{name: fmt.Sprintf("gateway-%d-%d", zone, index), zone: zone, peers: map[string]peering.Peer{}}
+	g := &gateway{name: fmt.Sprintf("gateway-%d-%d", zone, index), zone: zone, peers: map[string]peering.Peer{}, remotes: map[string]peering.Peer{}}
 	g.dispatcher = &dispatch.Dispatcher{
 		Self: g.member(), View: r.state.View,
 		Service:    func(string) (*configuration.Service, bool) { return &r.service, true },
-		MinVersion: func(string) int64 { return 0 }, Peers: g.livePeers,
+		MinVersion: func(string) int64 { return 0 }, Peers: g.livePeers, CellEndpoints: func() func(id, region string) bool { return r.cellEndpoints(g) },
 	}
+	g.federation = &dispatch.Federation{Local: g.dispatcher, Remotes: g.remotePeers, AcquireRemote: r.acquireRemote(g)}
 	return g
 }
 
@@ -181,12 +216,62 @@
 	}
 	for concurrency.Sleep(ctx, interval) {
 		digest := peering.Digest{Member: from.member(), Ready: true}
-		digest.Loads, digest.Demands = from.dispatcher.LocalLoad()
+		from.dispatcher.AddTo(&digest)
 		concurrency.Sleep(ctx, r.delay(from.zone, to.zone))
 		to.receiveDigest(digest)
 	}
 }
 
+// cellEndpoints returns a function that reports whether an endpoint belongs to the cell of a
+// gateway.
+func (r *Run) cellEndpoints(g *gateway) func(id, region string) bool {
+	available := func(string) bool { return true }
+	return func(id, region string) bool { return r.cells.ForEndpoint(id, region, available) == g.cell }
+}
+
+// sendReports periodically sends the capacities of a gateway to one of another cell.
+func (r *Run) sendReports(ctx context.Context, from, to *gateway) {
+	interval := reportInterval
+	if from.zone != to.zone {
+		interval = remoteReportInterval
+	}
+	concurrency.Sleep(ctx, time.Duration(r.uniform(float64(interval))))
+	for ctx.Err() == nil {
+		var digest peering.Digest
+		from.dispatcher.AddTo(&digest)
+		report := peering.Digest{Member: from.member(), Ready: true, Capacities: digest.Capacities}
+		concurrency.Sleep(ctx, reportDelay)
+		to.receiveReport(report)
+		concurrency.Sleep(ctx, interval)
+	}
+}
+
+// acquireRemote returns the function with which a gateway acquires endpoints of others.
+func (r *Run) acquireRemote(g *gateway) func(context.Context, peering.Member, *dispatch.Job) (*dispatch.Grant, *dispatch.Refusal, error) {
+	return func(ctx context.Context, member peering.Member, job *dispatch.Job) (*dispatch.Grant, *dispatch.Refusal, error) {
+		index := slices.IndexFunc(r.gateways, func(other *gateway) bool { return other.name == member.Name })
+		lender := r.gateways[index]
+		delay := r.delay(g.zone, lender.zone)
+		concurrency.Sleep(ctx, delay)
+		received := *job
+		grant, refusal := lender.dispatcher.Acquire(ctx, &received)
+		concurrency.Sleep(ctx, delay)
+		if refusal != nil {
+			return nil, refusal, nil
+		}
+		return dispatch.NewRemoteGrant(grant.Endpoint, grant.Version, grant.Decision, func(outcome dispatch.Outcome) {
+			r.tasks.Go(func(ctx context.Context) {
+				concurrency.Sleep(ctx, delay)
+				if outcome == dispatch.Released {
+					grant.Release()
+				} else {
+					grant.Record(outcome)
+				}
+			})
+		}), nil, nil
+	}
+}
+
 // delay returns the one-way delay between availability zones.
 func (r *Run) delay(a, b int) time.Duration {
 	if a == b {
--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -31,7 +31,7 @@
 		t.Skip("runs only with -table")
 	}
 	selected := regexp.MustCompile(*only)
-	for _, site := range []simulation.Site{simulation.CurrentSite(), simulation.GrownSite()} {
+	for _, site := range []simulation.Site{simulation.CurrentSite(), simulation.GrownSite(), simulation.LargeSite()} {
 		for _, pattern := range simulation.Patterns() {
 			if !selected.MatchString(site.Name + " " + pattern.Name) {
 				continue
@@ -102,3 +102,14 @@
 		t.Errorf("%.3f of the accepted callers were answered late, the large requests earned a share of %.2f and all requests %.2f", r.SlowShare, r.LargeShare, r.EarnedShare)
 	}
 }
+
+// In a fleet of several cells, a gateway knows the load of few endpoints; requests that its
+// own cell cannot serve must still find the free endpoints of other cells.
+func TestCellsOfLargeFleet(t *testing.T) {
+	for _, name := range []string{"steady", "a zone leaves", "one zone at once"} {
+		r := runSimulation(t, simulation.LargeSite(), patternNamed(t, name, 5*time.Second), 1)
+		if r.SlowShare > maxSlowShare || r.RefusedShare > maxSlowShare {
+			t.Errorf("%s: %.3f of the callers were slow and %.3f refused, want at most %.2f of each", name, r.SlowShare, r.RefusedShare, maxSlowShare)
+		}
+	}
+}
--- a/internal/simulation/site.go
+++ b/internal/simulation/site.go
@@ -57,6 +57,12 @@
 	digestInterval = 100 * time.Millisecond
 	// remoteDigestInterval is the digest interval between gateways of different regions.
 	remoteDigestInterval = 200 * time.Millisecond
+	// reportInterval is the interval of the reports that gateways of different cells of a
+	// region receive, remoteReportInterval that of gateways of different regions.
+	// reportDelay is the time that a report is passed on within a cell.
+	reportInterval       = 300 * time.Millisecond
+	remoteReportInterval = 900 * time.Millisecond
+	reportDelay          = 200 * time.Millisecond
 	// sameZoneDelay is the one-way delay within an availability zone.
 	sameZoneDelay = 100 * time.Microsecond
 )
@@ -96,4 +102,23 @@
 	}
 }
 
+// LargeSite returns an installation of hundreds of instances in five regions, including the
+// engines that were added for days of high load.
+func LargeSite() Site {
+	return Site{
+		Name: "large", Gateways: []int{10, 13, 13, 12, 11}, Engines: []int{41, 41, 41, 41, 40}, QueueCapacity: 16,
+		Engine: configuration.Engine{
+			Slots: 8, TokensPerEvent: 5, StepTime: 13300 * time.Microsecond, TimePerSequence: 58200 * time.Nanosecond,
+			TimePerKiloContext: 34100 * time.Nanosecond, PrefillRate: 12700, TimePerMegaPair: 2210 * time.Microsecond, PrefillChunkTokens: 2048,
+			MeanPromptTokens: 980, MeanResponseTokens: 73, Models: []string{model},
+		},
+		Kinds: []Kind{
+			{Name: "long", Rate: 341, PromptTokens: TokenDistribution{1330, 1, 3880}, AnswerTokens: TokenDistribution{74, 0.89, 185}, TargetLatency: 800 * time.Millisecond, InTimeValue: 2.2, LateValue: 0.56},
+			{Name: "middle", Rate: 250, PromptTokens: TokenDistribution{827, 1, 3330}, AnswerTokens: TokenDistribution{74, 0.69, 185}, TargetLatency: 600 * time.Millisecond, InTimeValue: 1.9, LateValue: 0.47},
+			{Name: "short", Rate: 189, PromptTokens: TokenDistribution{647, 0.96, 2640}, AnswerTokens: TokenDistribution{70, 0.9, 185}, TargetLatency: 500 * time.Millisecond, InTimeValue: 1.7, LateValue: 0.43},
+		},
+		CallerDelay: 3 * time.Millisecond, RegionDelay: 1800 * time.Microsecond,
+	}
+}
+
 func zoneName(index int) string { return fmt.Sprintf("zone-%d", index) }
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -34,6 +34,9 @@
 type Observer struct {
 	List  func(ctx context.Context, kind, after string) (informer.Page, error)
 	Watch func(ctx context.Context, kind string, after int64) (informer.Batch, error)
+	// Reads reports whether this process reads the object API itself instead of receiving
+	// copies from others; nil means that it does.
+	Reads func() bool
 	// Regions maps each availability zone to its region.
 	Regions map[string]string
 	Log     *event.Logger
@@ -70,7 +73,7 @@
 		delay = endpointCoalesceDelay
 	}
 	o.informers = append(o.informers, &informer.Informer{
-		Kind: kind, CoalesceDelay: delay, List: o.List, Watch: o.Watch,
+		Kind: kind, CoalesceDelay: delay, List: o.List, Watch: o.Watch, Reads: o.Reads,
 		OnChange: func(snapshot informer.Snapshot) {
 			apply(snapshot)
 			o.notifyChange()
@@ -94,6 +97,16 @@
 	group.Wait()
 }
 
+// StoreAvailable reports whether the object API responds for every kind.
+func (o *Observer) StoreAvailable() bool {
+	for _, inf := range o.informers {
+		if unavailableSince, _ := inf.Availability(); !unavailableSince.IsZero() || inf.Revision() == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // Informers returns the informers added so far.
 func (o *Observer) Informers() []*informer.Informer { return slices.Clone(o.informers) }
 
