--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -24,7 +24,9 @@
 			if !snapshot.ownedBySelf || version == 0 || version < minVersion {
 				continue
 			}
+			capacity.Endpoints++
 			capacity.Slots += snapshot.endpoint.Slots
+			capacity.PendingPrefill += snapshot.pendingPrefill
 			if d.underColdRate(config, snapshot.state, now) && !snapshot.degraded {
 				capacity.Free += max(0, snapshot.endpoint.Slots-ownerReservedSlots-snapshot.running)
 			}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -55,19 +55,30 @@
 // may become available in time.
 func (d *Dispatcher) Acquire(ctx context.Context, job *Job) (*Grant, *Refusal) {
 	d.recordDemand(job)
-	return d.decide(ctx, job, true)
+	return d.decide(ctx, job)
 }
 
-// TryAcquire returns a grant for an endpoint that can take the job now, or a refusal. The
-// job may be passed to AwaitEndpoint afterwards.
-func (d *Dispatcher) TryAcquire(ctx context.Context, job *Job) (*Grant, *Refusal) {
-	d.recordDemand(job)
-	return d.decide(ctx, job, false)
+// AwaitEndpoint is like Acquire for a job whose demand is already recorded.
+func (d *Dispatcher) AwaitEndpoint(ctx context.Context, job *Job) (*Grant, *Refusal) {
+	return d.decide(ctx, job)
 }
 
-// AwaitEndpoint is like Acquire for a job that TryAcquire has refused.
-func (d *Dispatcher) AwaitEndpoint(ctx context.Context, job *Job) (*Grant, *Refusal) {
-	return d.decide(ctx, job, true)
+// predict returns the predicted latency of the job at the endpoint that could take it now.
+// If there is none, it returns a refusal, whose reason is NoEndpoint if no endpoint of the
+// cell may take the job.
+func (d *Dispatcher) predict(job *Job) (time.Duration, *Refusal) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	best, count, _ := d.findEndpoint(job, now)
+	switch {
+	case count == 0:
+		return 0, &Refusal{Reason: NoEndpoint, RetryAfter: noEndpointRetryAfter}
+	case best.endpointSnapshot == nil || d.service(job.Service).hasJobAhead(job):
+		return 0, &Refusal{Reason: Overloaded, RetryAfter: overloadedRetryAfter}
+	default:
+		return best.predicted, nil
+	}
 }
 
 func (d *Dispatcher) recordDemand(job *Job) {
@@ -76,12 +87,12 @@
 	d.service(job.Service).demand.record(time.Now())
 }
 
-func (d *Dispatcher) decide(ctx context.Context, job *Job, mayQueue bool) (*Grant, *Refusal) {
+func (d *Dispatcher) decide(ctx context.Context, job *Job) (*Grant, *Refusal) {
 	now := time.Now()
 	d.mu.Lock()
 	service := d.service(job.Service)
 	queued := &queuedJob{job: job, enqueuedAt: now, done: make(chan struct{})}
-	d.admit(service, queued, mayQueue, now)
+	d.admit(service, queued, now)
 	decided := queued.decided()
 	d.mu.Unlock()
 	if decided {
--- a/internal/dispatch/federation.go
+++ b/internal/dispatch/federation.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/mimosaward/mimosaward/internal/configuration"
 	"github.com/mimosaward/mimosaward/internal/peering"
 )
 
@@ -16,6 +17,11 @@
 	maxLenders = 2
 	// lenderExclusion is how long a gateway that did not respond is not asked again.
 	lenderExclusion = time.Second
+	// regionMargin and remoteMargin are how much lower the latency that a report predicts
+	// must be for a job to leave a cell that could serve it: about the delay that requests
+	// since the report cause, and the round trip to another region.
+	regionMargin = 50 * time.Millisecond
+	remoteMargin = 100 * time.Millisecond
 )
 
 // Federation acquires endpoints for the jobs of one gateway: those of its own cell through
@@ -43,73 +49,111 @@
 	excludedUntil time.Time
 }
 
-// Acquire returns a grant for an endpoint, or a refusal. A job that the own cell cannot
-// serve now goes to another cell that has free slots. It is queued in the own cell or, if
-// that has no endpoint for the job, in another one.
+// lender is a gateway of another cell that may grant an endpoint for a job.
+type lender struct {
+	member    peering.Member
+	free      int
+	slots     int
+	predicted time.Duration
+}
+
+// Acquire returns a grant for an endpoint, or a refusal. A job goes to another cell if that
+// is likely to serve it sooner. Otherwise it is queued in the own cell or, if that has no
+// endpoint for the job, in another one.
 func (f *Federation) Acquire(ctx context.Context, job *Job) (*Grant, *Refusal) {
-	if len(f.Remotes()) == 0 {
+	if job.Model == "" || len(f.Remotes()) == 0 {
 		return f.Local.Acquire(ctx, job)
 	}
-	grant, refusal := f.Local.TryAcquire(ctx, job)
-	if grant != nil {
-		return grant, nil
-	}
-	for range maxLenders {
-		lender, ok := f.chooseLender(job, refusal.Reason == NoEndpoint)
-		if !ok {
+	f.Local.recordDemand(job)
+	local, refusal := f.Local.predict(job)
+	for attempt := range maxLenders {
+		lender, ok := f.chooseLender(job, refusal != nil && refusal.Reason == NoEndpoint)
+		if !ok || (refusal == nil && (attempt > 0 || lender.predicted+f.margin(lender.member) >= local)) {
 			break
 		}
-		grant, remoteRefusal, err := f.AcquireRemote(ctx, lender, job)
-		f.recordAnswer(lender, grant != nil, err)
+		grant, remoteRefusal, err := f.AcquireRemote(ctx, lender.member, job)
+		f.recordAnswer(lender.member, grant != nil, err)
 		if grant != nil {
 			return grant, nil
 		}
-		if err == nil && refusal.Reason == NoEndpoint {
+		if err == nil && refusal != nil && refusal.Reason == NoEndpoint {
 			refusal = remoteRefusal
 		}
 	}
-	if refusal.Reason == NoEndpoint || ctx.Err() != nil {
+	if refusal != nil && refusal.Reason == NoEndpoint || ctx.Err() != nil {
 		return nil, refusal
 	}
 	return f.Local.AwaitEndpoint(ctx, job)
 }
 
-// chooseLender returns a random gateway of another cell, in proportion to its free slots.
-// If none has free slots and queue is set, the choice is in proportion to the slots.
-func (f *Federation) chooseLender(job *Job, queue bool) (peering.Member, bool) {
+// margin returns how much lower the predicted latency at a lender must be.
+func (f *Federation) margin(member peering.Member) time.Duration {
+	if member.Region == f.Local.Self.Region {
+		return regionMargin
+	}
+	return remoteMargin
+}
+
+// chooseLender returns the better one of two random gateways of other cells, drawn in
+// proportion to their free slots. If none has free slots and queue is set, the choice is in
+// proportion to the slots.
+func (f *Federation) chooseLender(job *Job, queue bool) (lender, bool) {
+	lenders := f.candidates(job)
+	first := pickWeighted(lenders, func(l lender) int { return l.free })
+	if first < 0 {
+		if queue {
+			first = pickWeighted(lenders, func(l lender) int { return l.slots })
+		}
+		if first < 0 {
+			return lender{}, false
+		}
+		return lenders[first], true
+	}
+	second := pickWeighted(lenders, func(l lender) int { return l.free })
+	if lenders[second].predicted+f.margin(lenders[second].member) < lenders[first].predicted+f.margin(lenders[first].member) {
+		return lenders[second], true
+	}
+	return lenders[first], true
+}
+
+// candidates returns the gateways of other cells that may grant an endpoint for the job.
+func (f *Federation) candidates(job *Job) []lender {
+	config, exists := f.Local.Service(job.Service)
+	if !exists || config.Engine == nil {
+		return nil
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	var members []peering.Member
-	var free, slots []int
+	var lenders []lender
 	for _, peer := range f.Remotes() {
 		member := peer.Digest.Member
 		state := f.lender(member.Name)
-		if !peer.Digest.Ready || peer.Digest.Stopping || now.Before(state.excludedUntil) || !job.allowsRegion(member.Region) {
+		capacity := capacityOf(peer.Digest.Capacities, job.Service)
+		if !peer.Digest.Ready || peer.Digest.Stopping || now.Before(state.excludedUntil) || capacity.Endpoints == 0 || !job.allowsRegion(member.Region) {
 			continue
 		}
 		if !state.reportedAt.Equal(peer.ReceivedAt) {
 			state.reportedAt, state.used = peer.ReceivedAt, 0
 		}
-		capacity := capacityOf(peer.Digest.Capacities, job.Service)
-		members = append(members, member)
-		free, slots = append(free, max(0, capacity.Free-state.used)), append(slots, capacity.Slots)
+		free := max(0, capacity.Free-state.used)
+		lenders = append(lenders, lender{member: member, free: free, slots: capacity.Slots, predicted: predictAt(config.Engine, capacity, free, job.PromptTokens)})
 	}
-	index := pickWeighted(free)
-	if index < 0 && queue {
-		index = pickWeighted(slots)
-	}
-	if index < 0 {
-		return peering.Member{}, false
-	}
-	return members[index], true
+	return lenders
+}
+
+// predictAt returns the predicted latency of a prompt at an endpoint with the mean load of
+// a gateway's endpoints.
+func predictAt(engineConfig *configuration.Engine, capacity peering.Capacity, free, prompt int) time.Duration {
+	running := max(0, capacity.Slots-capacity.Endpoints*ownerReservedSlots-free) / capacity.Endpoints
+	return predictLatency(engineConfig, running, capacity.PendingPrefill/capacity.Endpoints, prompt, 1)
 }
 
 // recordAnswer records the answer of a gateway that was asked for an endpoint.
-func (f *Federation) recordAnswer(lender peering.Member, granted bool, err error) {
+func (f *Federation) recordAnswer(member peering.Member, granted bool, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	state := f.lender(lender.Name)
+	state := f.lender(member.Name)
 	switch {
 	case err != nil:
 		state.excludedUntil = time.Now().Add(lenderExclusion)
@@ -117,7 +161,7 @@
 		state.used++
 	default:
 		// Its slots have been taken since the report.
-		state.used = max(state.used, maxReportedSlots)
+		state.used = maxReportedSlots
 	}
 }
 
@@ -151,17 +195,17 @@
 }
 
 // pickWeighted returns a random index in proportion to the weights, -1 if all are 0.
-func pickWeighted(weights []int) int {
+func pickWeighted(lenders []lender, weight func(lender) int) int {
 	total := 0
-	for _, weight := range weights {
-		total += weight
+	for _, l := range lenders {
+		total += weight(l)
 	}
 	if total == 0 {
 		return -1
 	}
 	target := rand.IntN(total)
-	for index, weight := range weights {
-		if target -= weight; target < 0 {
+	for index, l := range lenders {
+		if target -= weight(l); target < 0 {
 			return index
 		}
 	}
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -7,14 +7,20 @@
 	"github.com/mimosaward/mimosaward/internal/configuration"
 )
 
-// admit assigns the job to an endpoint, queues it if mayQueue is set, or refuses it.
-func (d *Dispatcher) admit(service *serviceState, queued *queuedJob, mayQueue bool, now time.Time) {
-	config, exists := d.Service(queued.job.Service)
+// findEndpoint returns the best endpoint that can take the job now, the number of endpoints
+// that may take it now or later, and the configuration of its service.
+func (d *Dispatcher) findEndpoint(job *Job, now time.Time) (best candidate, count int, config *configuration.Service) {
+	config, exists := d.Service(job.Service)
 	if !exists {
-		queued.refuse(&Refusal{Reason: NoEndpoint, RetryAfter: noEndpointRetryAfter})
-		return
+		return candidate{}, 0, nil
 	}
-	best, count := d.selectEndpoint(queued.job, config, d.snapshotEndpoints(config, now), now)
+	best, count = d.selectEndpoint(job, config, d.snapshotEndpoints(config, now), now)
+	return best, count, config
+}
+
+// admit assigns the job to an endpoint, queues it, or refuses it.
+func (d *Dispatcher) admit(service *serviceState, queued *queuedJob, now time.Time) {
+	best, count, config := d.findEndpoint(queued.job, now)
 	if count == 0 {
 		queued.refuse(&Refusal{Reason: NoEndpoint, RetryAfter: noEndpointRetryAfter})
 		return
@@ -24,7 +30,7 @@
 		return
 	}
 	queued.deadline = queueDeadline(config, queued.job, now)
-	if !mayQueue || !queued.deadline.After(now) {
+	if !queued.deadline.After(now) {
 		queued.refuse(&Refusal{Reason: Overloaded, RetryAfter: overloadedRetryAfter})
 		return
 	}
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -20,6 +20,9 @@
 const (
 	// gatewayKind is the kind of the objects in which gateways register their addresses.
 	gatewayKind = "gateways"
+	// memberCoalesceDelay is the pause between watches of the registered gateways: digests
+	// announce changes sooner.
+	memberCoalesceDelay = time.Second
 	// registerRetryDelay is the delay before a failed registration is retried.
 	registerRetryDelay = 500 * time.Millisecond
 	// addressTTL is the maximum TTL of a directory response. Some clients cache it three
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -140,10 +140,10 @@
 		Callers: g.Deployment.Listen.Clients, Control: g.Deployment.Listen.Control, Incarnation: time.Now().UnixMilli(),
 	}
 	g.store = platform.NewStore(g.Deployment.Store.Address, g.DialStore)
-	g.peerTable = &peering.Table{Self: g.self}
+	g.peerTable = &peering.Table{Self: g.self, Start: time.Now()}
 	g.observer = (&storewatch.Observer{List: g.store.List, Watch: g.store.Watch, Reads: g.peerTable.IsReader, Regions: g.Deployment.Regions, Log: g.Log}).Init()
 	informers := g.observer.Informers()
-	g.observer.AddInformer(gatewayKind, g.applyMembers)
+	g.observer.AddInformer(gatewayKind, memberCoalesceDelay, g.applyMembers)
 	g.dispatcher = &dispatch.Dispatcher{
 		Self: g.self, View: g.observer.ClusterState, Service: g.lookUpService, MinVersion: g.minVersion, Peers: g.peerTable.CellPeers,
 		CellEndpoints: g.peerTable.CellEndpoints,
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -37,7 +37,7 @@
 	// Watch returns the changes after a revision. It blocks until there is a change.
 	Watch func(ctx context.Context, kind string, after int64) (Batch, error)
 	// Reads reports whether this process reads the object API. If not, the copy changes
-	// only through AdoptSnapshot, after a first list. A nil Reads means true.
+	// only through AdoptSnapshot. A nil Reads means true.
 	Reads func() bool
 	// OnChange is called after each change of the copy. Calls do not overlap.
 	OnChange func(Snapshot)
@@ -86,13 +86,8 @@
 	return i.unavailableSince, i.availableSince
 }
 
-// Passive reports whether the informer has a copy and does not read the object API.
-func (i *Informer) Passive() bool {
-	i.mu.Lock()
-	synced := i.synced
-	i.mu.Unlock()
-	return synced && i.Reads != nil && !i.Reads()
-}
+// Passive reports whether the informer does not read the object API.
+func (i *Informer) Passive() bool { return i.Reads != nil && !i.Reads() }
 
 // AdoptSnapshot replaces the copy by a newer one from a peer and reports whether any
 // object changed. A snapshot that is not newer is ignored.
--- a/internal/loader/load.go
+++ b/internal/loader/load.go
@@ -9,6 +9,7 @@
 	"github.com/mimosaward/mimosaward/internal/concurrency"
 	"github.com/mimosaward/mimosaward/internal/engine"
 	"github.com/mimosaward/mimosaward/internal/event"
+	"github.com/mimosaward/mimosaward/internal/membership"
 	"github.com/mimosaward/mimosaward/internal/weights"
 	"github.com/mimosaward/mimosaward/platform"
 )
@@ -64,13 +65,8 @@
 // engine serves must be replaced by then.
 func (l *Loader) loadStart(manifest *weights.Manifest, status engine.Status) time.Time {
 	plan, _ := l.plans.current()
-	rank := 0
-	for _, member := range plan.Members.Instances {
-		if member.Instance.Name < l.Deployment.Instance.IP {
-			rank++
-		}
-	}
 	window := max(0, l.Deployment.Bounds.Rollout-firstLoadOffset-lastLoadMargin)
+	rank := loadRank(manifest.Model+"@"+manifest.Version, l.Deployment.Instance.IP, plan.Members.Instances)
 	offset := firstLoadOffset + window*time.Duration(rank)/time.Duration(max(1, len(plan.Members.Instances)))
 	earliest := l.plans.wantedSince(versionOf(manifest))
 	for version := status.Version(manifest.Model) + 1; version < versionOf(manifest); version++ {
@@ -81,6 +77,20 @@
 	return earliest.Add(offset)
 }
 
+// loadRank returns the position of an instance in the order in which the engines load a
+// weight set. The order mixes the availability zones, so that the engines of a zone, which
+// serve the same callers, do not load at the same time.
+func loadRank(weightSet, instance string, members []Member) int {
+	score := membership.Score(weightSet, instance)
+	rank := 0
+	for _, member := range members {
+		if membership.Score(weightSet, member.Instance.Name) > score {
+			rank++
+		}
+	}
+	return rank
+}
+
 // load stages a weight set, verifies the staged chunks, orders the engine to load them,
 // and waits for the end of the load.
 func (l *Loader) load(ctx context.Context, manifest *weights.Manifest) {
--- a/internal/loader/observe.go
+++ b/internal/loader/observe.go
@@ -106,27 +106,33 @@
 	seedTimeout = 300 * time.Millisecond
 )
 
-// requestPlan requests the plan from one gateway. Errors are not logged: without a plan,
-// the loader falls back to the object store.
-func (l *Loader) requestPlan(ctx context.Context, address string) {
+// requestPlan requests the plan from one gateway and reports whether the gateway sent it.
+// Errors are not logged: without a plan, the loader falls back to the object store.
+func (l *Loader) requestPlan(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, seedTimeout)
 	defer cancel()
 	var reply PlanReply
 	err := l.control.Call(ctx, address, PlanMethod, &PlanArgs{Service: l.Deployment.Endpoint.Service}, &reply)
-	if err == nil && reply.Known {
-		l.plans.merge(reply.Plan)
+	if err != nil || !reply.Known {
+		return false
 	}
+	l.plans.merge(reply.Plan)
+	l.plans.recordContact()
+	return true
 }
 
-// watchGatewayContact reads the object store while no gateway calls. Normally gateways
-// send a loader its plan, so that the number of calls to the object store does not grow
-// with the number of engines.
+// watchGatewayContact reads the object store while neither a gateway calls nor a seed
+// responds. Normally gateways send a loader its plan, so that the number of calls to the
+// object store does not grow with the number of engines.
 func (l *Loader) watchGatewayContact(ctx context.Context) {
 	started := time.Now()
 	for concurrency.Tick(ctx, gatewayCheckInterval) {
 		if time.Since(latest(started, l.plans.lastContact())) < gatewayTimeout {
 			continue
 		}
+		if slices.ContainsFunc(l.Deployment.Seeds, func(seed string) bool { return l.requestPlan(ctx, seed) }) {
+			continue
+		}
 		l.Log.Emit(event.GatewaysUnreachable, event.Fields{"lastHeard": l.plans.lastContact()})
 		l.followStore(ctx)
 		l.Log.Emit(event.GatewaysReachable, event.Fields{})
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -105,22 +105,23 @@
 	return nil
 }
 
-// CopyArgs requests the copy of a kind of object.
+// CopyArgs requests the objects of a kind that changed after a revision.
 type CopyArgs struct {
-	Kind string
+	Kind  string
+	Since int64
 }
 
-// CopyReply returns the copy of a kind of object. Held is false if there is none.
+// CopyReply returns the changed objects of a kind. Held is false if there is no copy.
 type CopyReply struct {
-	Held     bool
-	Snapshot informer.Snapshot
+	Held  bool
+	Delta informer.Delta
 }
 
-// Copy replies with the local copy of the requested kind.
+// Copy replies with the changes of the local copy of the requested kind.
 func (s *service) Copy(args *CopyArgs, reply *CopyReply) error {
 	for _, local := range s.peering.Informers {
 		if local.Kind == args.Kind {
-			reply.Snapshot, reply.Held = local.Snapshot()
+			reply.Delta, reply.Held = local.Delta(args.Since)
 		}
 	}
 	return nil
@@ -148,9 +149,10 @@
 	}
 }
 
-// contactSeed exchanges digests with a seed address until another gateway is known.
+// contactSeed exchanges digests with a seed address until another gateway is known, and
+// for at least settleTime, because gateways often start at the same time.
 func (p *Peering) contactSeed(ctx context.Context, address string) {
-	for len(p.Table.Members()) == 0 && ctx.Err() == nil {
+	for (len(p.Table.Members()) == 0 || time.Since(p.Table.Start) < settleTime) && ctx.Err() == nil {
 		p.exchange(ctx, address, true, false)
 		concurrency.Sleep(ctx, 2*exchangeInterval)
 	}
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,6 +23,8 @@
 type node struct {
 	table *peering.Table
 	group *concurrency.Group
+	// cutOff is true while the gateway cannot reach the object store.
+	cutOff atomic.Bool
 }
 
 func newMember(index int, incarnation int64) peering.Member {
@@ -35,10 +38,10 @@
 	self := newMember(index, incarnation)
 	host := network.ForProcess(self.Name)
 	dial := func(_ context.Context, address string) (net.Conn, error) { return host.Dial(address) }
-	n := &node{table: &peering.Table{Self: self}, group: concurrency.NewGroup(context.Background())}
+	n := &node{table: &peering.Table{Self: self, Start: time.Now()}, group: concurrency.NewGroup(context.Background())}
 	peers := &peering.Peering{
 		Self: self, Table: n.table, Control: &controlrpc.Client{Dial: dial}, BulkControl: &controlrpc.Client{Dial: dial}, Log: event.Discard(),
-		Digest: func() peering.Digest { return peering.Digest{Ready: true} }, Seeds: []string{newMember(0, 0).Control}, OnDigest: func(peering.Digest) {},
+		Digest: func() peering.Digest { return peering.Digest{Ready: true, ReadsStore: n.readsStore()} }, Seeds: []string{newMember(0, 0).Control}, OnDigest: func(peering.Digest) {},
 	}
 	server := controlrpc.NewServer()
 	if err := peers.Register(server); err != nil {
@@ -50,9 +53,12 @@
 	}
 	n.group.Go(func(ctx context.Context) { server.Run(ctx, listener) })
 	n.group.Go(peers.Run)
+	n.group.Every(100*time.Millisecond, func(context.Context) { n.table.IsReader() })
 	return n
 }
 
+func (n *node) readsStore() bool { return n.table.IsReader() && !n.cutOff.Load() }
+
 // aliveMembers returns the names and incarnations of the gateways that the node considers alive.
 func (n *node) aliveMembers() []string {
 	var names []string
--- /dev/null
+++ b/internal/peering/reader_test.go
@@ -0,0 +1,58 @@
+package peering_test
+
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/mimosaward/mimosaward/internal/fakes"
+)
+
+// Two gateways of each region read the object store. If both are cut off from it, others
+// must take over within about a second, and the two must do so again after the cut.
+func TestReadersOfEachRegion(t *testing.T) {
+	for _, count := range []int{12, 30} {
+		synctest.Test(t, func(t *testing.T) {
+			network := fakes.NewNetwork()
+			var nodes []*node
+			for index := range count {
+				nodes = append(nodes, startNode(t, network, index, 1))
+			}
+			// readers returns the gateways of each region that read the object store.
+			readers := func() [][]int {
+				regions := [][]int{nil, nil}
+				for index, n := range nodes {
+					if n.readsStore() {
+						regions[index%2] = append(regions[index%2], index)
+					}
+				}
+				return regions
+			}
+			time.Sleep(8 * time.Second)
+			settled := readers()
+			if len(settled[0]) != 2 || len(settled[1]) != 2 {
+				t.Errorf("%d gateways: %v read the object store, want two of each region", count, settled)
+			}
+			for _, index := range slices.Concat(settled...) {
+				nodes[index].cutOff.Store(true)
+			}
+			time.Sleep(2500 * time.Millisecond)
+			if replaced := readers(); len(replaced[0]) == 0 || len(replaced[1]) == 0 {
+				t.Errorf("%d gateways: %v read the object store after the readers were cut off", count, replaced)
+			}
+			for _, n := range nodes {
+				n.cutOff.Store(false)
+			}
+			time.Sleep(3 * time.Second)
+			if diff := cmp.Diff(settled, readers()); diff != "" {
+				t.Errorf("%d gateways: readers after the cut (-want +got):\n%s", count, diff)
+			}
+			for index, n := range nodes {
+				n.stop(network, index)
+			}
+		})
+	}
+}
--- a/internal/peering/report.go
+++ b/internal/peering/report.go
@@ -17,18 +17,26 @@
 	Ready       bool
 	Stopping    bool
 	Capacities  []Capacity
+	ReadsStore  bool
+	// Revisions holds the revision of the gateway's copy of each kind of object.
+	Revisions map[string]int64
 }
 
 // Capacity is a gateway's share of a service's endpoints.
 type Capacity struct {
 	Service string
-	// Slots is the number of slots of the endpoints that the gateway owns and that can
-	// serve requests, Free the number of them that are not taken.
-	Slots int
-	Free  int
+	// Endpoints is the number of endpoints that the gateway owns and that can serve
+	// requests, Slots the number of their slots, and Free the number of slots that it
+	// would grant to other cells.
+	Endpoints int
+	Slots     int
+	Free      int
+	// PendingPrefill is the number of prompt tokens at these endpoints whose response has
+	// not started.
+	PendingPrefill int
 }
 
 // summary returns the part of the digest for other cells.
 func (d *Digest) summary() Summary {
-	return Summary{Name: d.Member.Name, Incarnation: d.Member.Incarnation, Ready: d.Ready, Stopping: d.Stopping, Capacities: d.Capacities}
+	return Summary{Name: d.Member.Name, Incarnation: d.Member.Incarnation, Ready: d.Ready, Stopping: d.Stopping, Capacities: d.Capacities, ReadsStore: d.ReadsStore, Revisions: d.Revisions}
 }
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -5,8 +5,6 @@
 	"slices"
 	"sync"
 	"time"
-
-	"github.com/mimosaward/mimosaward/internal/membership"
 )
 
 const (
@@ -23,13 +21,15 @@
 )
 
 // Table holds the state of the other gateways. It is safe for concurrent use. Set the
-// exported field before the first call.
+// exported fields before the first call.
 type Table struct {
-	// Self is the local gateway.
-	Self Member
+	// Self is the local gateway, Start the time at which it started.
+	Self  Member
+	Start time.Time
 
-	mu    sync.Mutex
-	peers map[string]*tableEntry
+	mu     sync.Mutex
+	peers  map[string]*tableEntry
+	reader readerState
 	// cells is nil after the members changed.
 	cells *Cells
 	// reports holds the newest report from each other cell. direct is true for those
@@ -47,6 +47,16 @@
 	peer Peer
 }
 
+// alive reports whether the gateway sent a digest within aliveTimeout or, in another cell,
+// was in a report within reportTimeout.
+func (e *tableEntry) alive(sameCell bool, now time.Time) bool {
+	timeout := reportTimeout
+	if sameCell {
+		timeout = aliveTimeout
+	}
+	return !e.peer.ReceivedAt.IsZero() && now.Sub(e.peer.ReceivedAt) <= timeout
+}
+
 // storedReport is a report with the time at which its contents were current.
 type storedReport struct {
 	report    Report
@@ -114,6 +124,7 @@
 		entry.member.Incarnation = summary.Incarnation
 		entry.peer = Peer{ReceivedAt: currentAt, Digest: Digest{
 			Member: entry.member, Ready: summary.Ready, Stopping: summary.Stopping, Capacities: summary.Capacities,
+			ReadsStore: summary.ReadsStore, Revisions: summary.Revisions,
 		}}
 	}
 }
@@ -206,28 +217,6 @@
 	}
 }
 
-// IsReader reports whether this gateway reads the object store for its region's part of
-// the cell: fewer than readersPerRegion of the gateways that rank before it do.
-func (t *Table) IsReader() bool {
-	score := membership.Score(readerKey, t.Self.Name)
-	readers := 0
-	for _, peer := range t.CellPeers() {
-		digest := &peer.Digest
-		if digest.Member.Region == t.Self.Region && digest.ReadsStore && !digest.Stopping && membership.Score(readerKey, digest.Member.Name) > score {
-			readers++
-		}
-	}
-	return readers < readersPerRegion
-}
-
-const (
-	// readersPerRegion is the number of gateways of a cell that read the object store in
-	// each region: the others receive changes without delay while one of them fails.
-	readersPerRegion = 2
-	// readerKey is the key of the rendezvous order of readers.
-	readerKey = "reader"
-)
-
 // CellMembers returns the other gateways of the local cell, ordered by name.
 func (t *Table) CellMembers() []Member {
 	cells := t.Cells()
@@ -259,6 +248,15 @@
 // They are ordered by name.
 func (t *Table) Alive() []Peer { return t.alive(func(string) bool { return true }) }
 
+// nearPeers returns the gateways of the local cell and of the local region that are alive.
+func (t *Table) nearPeers() []Peer {
+	cells := t.Cells()
+	return slices.DeleteFunc(t.Alive(), func(peer Peer) bool {
+		member := peer.Digest.Member
+		return member.Region != t.Self.Region && cells.Of(member.Name) != cells.Of(t.Self.Name)
+	})
+}
+
 // CellPeers returns the gateways of the local cell that are alive, ordered by name.
 func (t *Table) CellPeers() []Peer {
 	return t.alive(func(cell string) bool { return cell == t.cells.Of(t.Self.Name) })
@@ -278,11 +276,7 @@
 	ownCell := cells.Of(t.Self.Name)
 	var alive []Peer
 	for name, entry := range t.peers {
-		cell, timeout := cells.Of(name), aliveTimeout
-		if cell != ownCell {
-			timeout = reportTimeout
-		}
-		if match(cell) && !entry.peer.ReceivedAt.IsZero() && now.Sub(entry.peer.ReceivedAt) <= timeout {
+		if cell := cells.Of(name); match(cell) && entry.alive(cell == ownCell, now) {
 			alive = append(alive, entry.peer)
 		}
 	}
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -58,20 +58,16 @@
 	o.clusterState = clusterstate.NewStore()
 	o.changed = make(chan struct{})
 	o.reportedUnreadable = map[string]int64{}
-	o.AddInformer(platform.KindConfiguration, o.applyConfiguration)
-	o.AddInformer(platform.KindEndpoints, o.applyEndpoints)
-	o.AddInformer(platform.KindEvacuations, o.applyEvacuations)
-	o.AddInformer(platform.KindRollouts, o.applyRollouts)
+	o.AddInformer(platform.KindConfiguration, coalesceDelay, o.applyConfiguration)
+	o.AddInformer(platform.KindEndpoints, endpointCoalesceDelay, o.applyEndpoints)
+	o.AddInformer(platform.KindEvacuations, coalesceDelay, o.applyEvacuations)
+	o.AddInformer(platform.KindRollouts, coalesceDelay, o.applyRollouts)
 	return o
 }
 
 // AddInformer adds an informer for another kind, which calls apply after each change.
-// It must be called before Run.
-func (o *Observer) AddInformer(kind string, apply func(informer.Snapshot)) {
-	delay := coalesceDelay
-	if kind == platform.KindEndpoints {
-		delay = endpointCoalesceDelay
-	}
+// Changes within delay share a watch. It must be called before Run.
+func (o *Observer) AddInformer(kind string, delay time.Duration, apply func(informer.Snapshot)) {
 	o.informers = append(o.informers, &informer.Informer{
 		Kind: kind, CoalesceDelay: delay, List: o.List, Watch: o.Watch, Reads: o.Reads,
 		OnChange: func(snapshot informer.Snapshot) {
