gateway: log which requests the exit of a stopping process cuts off

The end of a drain was logged with the number of requests in flight only: it could not be told whether a request was waiting for an endpoint or sent to one, how long after the signal it had been taken, and responses that were still being written were not counted at all. Change: event 1003 also has the connections on which a request is being read, handled or answered; event 4120 names each request in flight (up to 64), its endpoint, its age and the time since the signal. No decision changes.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -103,6 +103,7 @@
 	EndpointNotLent    = Event{4106, logrus.InfoLevel, "no endpoint granted to a request of another cell", "Check the reason in the record."}
 	LenderUnreachable  = Event{4107, logrus.WarnLevel, "gateway of another cell does not respond", "If this repeats, check that gateway and the network to it."}
 	AttemptFailed      = Event{4104, logrus.WarnLevel, "endpoint failed to serve a request", "If this repeats for an endpoint, check the endpoint and the network to it."}
+	RequestCut         = Event{4120, logrus.WarnLevel, "request cut off by the exit of the process", "If this repeats, check that the grace period exceeds the time that requests take."}
 	OutcomeUnknown     = Event{4005, logrus.WarnLevel, "outcome of a non-idempotent request is unknown", "The caller received the outcome; the idempotency key stays claimed. Check whether the service executed the request."}
 )
 
@@ -116,5 +117,6 @@
 		RolloutStarted, SetComplete, ChunkCorrupt, PeerExcluded, LoadOrdered, LoadFailed, LoadCompleted, ManifestFailed,
 		ChunkMemoryTooSmall, SwapWaiting, RolloutAbandoned, EngineUnreachable, EngineReachable, GatewaysUnreachable, GatewaysReachable,
 		EndpointCold, ResponseMismatched, StreamResumed, StreamAborted, OutcomeUnknown, LoaderUnreachable, LoaderReachable, RequestSent, RequestEnded, RequestRefused, AttemptFailed, EndpointLent, EndpointNotLent, LenderUnreachable,
+		RequestCut,
 	}
 }
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -19,6 +19,9 @@
 	drainMargin = time.Second
 	// drainPollInterval is how often the requests in flight are counted.
 	drainPollInterval = 50 * time.Millisecond
+	// maxCutRecords is the maximum number of requests that are logged one by one when the
+	// process exits.
+	maxCutRecords = 64
 	// reasonStopping is the reason for refusals by a stopping gateway, and
 	// stoppingRetryAfter their retry delay: another gateway can serve the request at once.
 	reasonStopping     = dispatch.Reason("stopping")
@@ -67,5 +70,16 @@
 		}
 		time.Sleep(drainPollInterval)
 	}
-	g.Log.Emit(event.DrainEnded, event.Fields{"inFlight": g.requests.count()})
+	g.logDrainEnded(start)
+}
+
+// logDrainEnded logs the end of the drain and the requests that the exit cuts off.
+func (g *Gateway) logDrainEnded(start time.Time) {
+	inFlight := g.requests.all()
+	g.Log.Emit(event.DrainEnded, event.Fields{
+		"inFlight": len(inFlight), "busyConnections": g.connections.active(), "tookMs": time.Since(start).Milliseconds(),
+	})
+	for _, r := range inFlight[:min(len(inFlight), maxCutRecords)] {
+		r.logCut(time.Since(start))
+	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -70,6 +70,7 @@
 	bounds        atomic.Pointer[deployment.Bounds]
 	metrics       *gatewayMetrics
 	requests      requestTracker
+	connections   connectionTracker
 	retryDetector retryDetector
 	store         *platform.Store
 	self          peering.Member
@@ -119,6 +120,9 @@
 		}
 		defer func() { _ = listener.Close() }()
 		server := newServer(handler)
+		if address == g.Deployment.Listen.Clients {
+			server.ConnState = g.connections.setState
+		}
 		group.Go(func(context.Context) { serveErrors <- server.Serve(listener) })
 	}
 	g.Log.Emit(event.ProcessStarted, event.Fields{"address": g.Deployment.Listen.Clients})
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -32,6 +35,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	conn   net.Conn
+	// sentTo is the ID of the endpoint to which the request was last sent, nil before.
+	sentTo atomic.Pointer[string]
 }
 
 // requestTracker tracks the requests in flight. It is safe for concurrent use.
@@ -61,15 +66,16 @@
 	return len(t.requests)
 }
 
+// all returns the requests in flight.
+func (t *requestTracker) all() []*request {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Collect(maps.Keys(t.requests))
+}
+
 // cancelDisconnected cancels the requests whose clients disconnected.
 func (t *requestTracker) cancelDisconnected(disconnected func(net.Conn) bool) {
-	t.mu.Lock()
-	snapshot := make([]*request, 0, len(t.requests))
-	for r := range t.requests {
-		snapshot = append(snapshot, r)
-	}
-	t.mu.Unlock()
-	for _, r := range snapshot {
+	for _, r := range t.all() {
 		if disconnected(r.conn) {
 			r.cancel()
 		}
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -14,6 +14,7 @@
 // logSent logs the endpoint to which the request is sent and the state on which it was
 // selected.
 func (r *request) logSent(grant *dispatch.Grant, attempt int) {
+	r.sentTo.Store(&grant.Endpoint.ID)
 	decision := grant.Decision
 	r.gateway.Log.Emit(event.RequestSent, event.Fields{
 		"request": r.clientRequest.ID, "route": r.route.Name, "endpoint": grant.Endpoint.ID, "attempt": attempt,
@@ -41,6 +42,18 @@
 	})
 }
 
+// logCut logs that the process exits while the request is in flight.
+func (r *request) logCut(sinceStop time.Duration) {
+	endpoint := ""
+	if sentTo := r.sentTo.Load(); sentTo != nil {
+		endpoint = *sentTo
+	}
+	r.gateway.Log.Emit(event.RequestCut, event.Fields{
+		"request": r.clientRequest.ID, "endpoint": endpoint, "ageMs": time.Since(r.arrived).Milliseconds(), "sinceStopMs": sinceStop.Milliseconds(),
+		"patienceMs": r.clientRequest.Timeout.Milliseconds(), "callerLeft": r.ctx.Err() != nil,
+	})
+}
+
 // logRefused logs and counts a request that the gateway refused.
 func (r *request) logRefused(refused *refusal) {
 	r.gateway.metrics.recordRefusal(r, refused.reason)
