cli: failing tests of SIGHUP while a daemon starts and drains

Reproduces the second hypothesis of the incident of planned stops: a daemon that receives SIGHUP before it watches its settings file, or after SIGTERM, ends at once ("signal: hangup") with all its requests.

--- /dev/null
+++ b/internal/cli/platformdaemon_test.go
@@ -0,0 +1,152 @@
+package cli_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/mimosaward/mimosaward/internal/cli"
+)
+
+// settingsOfDaemon is the environment variable that makes the test binary run as a daemon
+// with the settings file that it names.
+const settingsOfDaemon = "DAEMON_TEST_SETTINGS"
+
+// drainTime is how long the daemon drains. It only has to exceed the time in which the
+// process handles a signal.
+const drainTime = 500 * time.Millisecond
+
+func TestMain(m *testing.M) {
+	if settings := os.Getenv(settingsOfDaemon); settings != "" {
+		os.Exit(runDaemon(settings))
+	}
+	os.Exit(m.Run())
+}
+
+// runDaemon runs a daemon that prints "running" and, when it is asked to stop, "draining".
+func runDaemon(settings string) int {
+	command := &cli.PlatformDaemonCommand{Name: "daemon", Run: func(ctx context.Context, _ cli.Environment) error {
+		fmt.Fprintln(os.Stderr, "running")
+		<-ctx.Done()
+		fmt.Fprintln(os.Stderr, "draining")
+		time.Sleep(drainTime)
+		return nil
+	}}
+	return command.Main([]string{"--settings", settings}, cli.Streams{Out: io.Discard, Err: os.Stderr})
+}
+
+// daemonProcess is the test binary that runs as a daemon.
+type daemonProcess struct {
+	t       *testing.T
+	command *exec.Cmd
+	lines   *bufio.Scanner
+}
+
+func startDaemon(t *testing.T, settings string) *daemonProcess {
+	command := exec.Command(os.Args[0])
+	command.Env = append(os.Environ(), settingsOfDaemon+"="+settings)
+	output, err := command.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	return &daemonProcess{t: t, command: command, lines: bufio.NewScanner(output)}
+}
+
+func (d *daemonProcess) signal(signals ...syscall.Signal) {
+	for _, sig := range signals {
+		if err := d.command.Process.Signal(sig); err != nil {
+			d.t.Errorf("send %s: %v", sig, err)
+		}
+	}
+}
+
+// requireLine waits for a line of the process.
+func (d *daemonProcess) requireLine(line string) {
+	d.t.Helper()
+	for d.lines.Scan() {
+		if d.lines.Text() == line {
+			return
+		}
+	}
+	d.t.Fatalf("process ended before it printed %q: %v", line, d.command.Wait())
+}
+
+// requireExit waits until the process ends and requires that it ended by itself.
+func (d *daemonProcess) requireExit() {
+	d.t.Helper()
+	for d.lines.Scan() {
+		d.t.Logf("daemon: %s", d.lines.Text())
+	}
+	if err := d.command.Wait(); err != nil {
+		d.t.Errorf("process ended with %v, want status 0", err)
+	}
+}
+
+// copySettings copies the example settings to a new file.
+func copySettings(t *testing.T, file string) {
+	content, err := os.ReadFile(filepath.Join("testdata", "instance.toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(file, content, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a process that ends at once, with all its requests, when it receives
+// SIGHUP while it drains.
+func TestHangupWhileDrainingDoesNotEndProcess(t *testing.T) {
+	settings := filepath.Join(t.TempDir(), "instance.toml")
+	copySettings(t, settings)
+	daemon := startDaemon(t, settings)
+	daemon.requireLine("running")
+	daemon.signal(syscall.SIGTERM)
+	daemon.requireLine("draining")
+	for start := time.Now(); time.Since(start) < drainTime/2; time.Sleep(drainTime / 20) {
+		daemon.signal(syscall.SIGHUP, syscall.SIGTERM)
+	}
+	daemon.requireExit()
+}
+
+// Guards against a process that ends when it receives SIGHUP before it has read its
+// settings.
+func TestHangupWhileStartingDoesNotEndProcess(t *testing.T) {
+	settings := filepath.Join(t.TempDir(), "instance.toml")
+	if err := syscall.Mkfifo(settings, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	daemon := startDaemon(t, settings)
+	// Opening the pipe waits until the process reads its settings.
+	pipe, err := os.OpenFile(settings, os.O_WRONLY, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	daemon.signal(syscall.SIGHUP)
+	if err := os.Remove(settings); err != nil {
+		t.Fatal(err)
+	}
+	copySettings(t, settings)
+	content, err := os.ReadFile(settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := pipe.Write(content); err != nil {
+		t.Errorf("write the settings: %v", err)
+	}
+	if err := pipe.Close(); err != nil {
+		t.Error(err)
+	}
+	daemon.requireLine("running")
+	daemon.signal(syscall.SIGTERM)
+	daemon.requireExit()
+}
