--- a/internal/integration/stop_test.go
+++ b/internal/integration/stop_test.go
@@ -71,3 +71,24 @@
 		}
 	})
 }
+
+// Guards against a process that exits while a response that its handler has finished, or a
+// refusal, is still being written to a caller that reads slowly.
+func TestPlannedStopCompletesResponsesToSlowCallers(t *testing.T) {
+	withInstallation(t, func(i *installation) {
+		callers := concurrency.NewGroup(context.Background())
+		callers.Go(func(context.Context) { i.stopProcess(gatewayName(0)) })
+		time.Sleep(3900 * time.Millisecond)
+		buffered, refused := i.call(0, "/status/1"), i.chatCall(0)
+		for wantStatus, call := range map[int]platformtest.Request{200: buffered, 503: refused} {
+			call.ReadDelay = 1500 * time.Millisecond
+			callers.Go(func(context.Context) {
+				response, err := platformtest.Do(i.network.ForProcess("caller").Dial, call)
+				if err != nil || response.Status != wantStatus || !response.Complete {
+					t.Errorf("%s: response %+v, error %v; want a complete response with status %d", call.Path, response, err, wantStatus)
+				}
+			})
+		}
+		callers.Wait()
+	})
+}
