cli: never end a daemon by SIGHUP

What callers saw: a gateway that received SIGHUP while it drained ended at once, and with it every request that it had accepted; the same right after its start. Cause: the handler of SIGHUP existed only while the settings watcher ran. The watcher starts after the settings are read and stops with SIGTERM; then signal.Stop restored the default effect of the signal, which is to end the process. Class: a resource that protects the whole process is owned by one of its tasks. Change: Main registers the receiver before anything else and keeps it until the process exits; the watcher only reads from it. Whether this caused the reported losses is not shown yet.

--- a/internal/cli/platformdaemon.go
+++ b/internal/cli/platformdaemon.go
@@ -51,8 +51,11 @@
 }
 
 // Main parses the arguments, runs the program until SIGTERM or SIGINT, and returns the
-// exit status.
+// exit status. SIGHUP never ends the program, also not while it starts or drains.
 func (d *PlatformDaemonCommand) Main(args []string, streams Streams) int {
+	// Without a receiver, which must exist as long as the process, SIGHUP would end it.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	var options PlatformDaemonOptions
 	parser := flags.NewNamedParser(d.Name, flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = d.Description
@@ -76,10 +79,10 @@
 		_, _ = fmt.Fprintf(streams.Err, "%s: no settings file; see %s --help\n", d.Name, d.Name)
 		return ExitUsage
 	}
-	return d.start(options, streams)
+	return d.start(options, streams, hangups)
 }
 
-func (d *PlatformDaemonCommand) start(options PlatformDaemonOptions, streams Streams) int {
+func (d *PlatformDaemonCommand) start(options PlatformDaemonOptions, streams Streams, hangups <-chan os.Signal) int {
 	loaded, err := platform.LoadSettings(options.Settings)
 	if err != nil {
 		return Fail(streams, err)
@@ -101,7 +104,7 @@
 	defer stop()
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector())
-	watcher := &settingsWatcher{file: options.Settings, log: log, changed: make(chan deployment.Deployment, 1)}
+	watcher := &settingsWatcher{file: options.Settings, log: log, hangups: hangups, changed: make(chan deployment.Deployment, 1)}
 	background := concurrency.NewGroup(ctx)
 	background.Go(watcher.run)
 	if options.MetricsPort > 0 {
--- a/internal/cli/settingswatcher.go
+++ b/internal/cli/settingswatcher.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"reflect"
-	"syscall"
 	"time"
 
 	"github.com/mimosaward/mimosaward/internal/deployment"
@@ -22,6 +20,7 @@
 type settingsWatcher struct {
 	file    string
 	log     *event.Logger
+	hangups <-chan os.Signal
 	changed chan deployment.Deployment
 
 	last        deployment.Deployment
@@ -31,9 +30,6 @@
 // run checks the file at each SIGHUP and every settingsPollInterval, until ctx is
 // canceled.
 func (w *settingsWatcher) run(ctx context.Context) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	w.reload("start")
@@ -41,7 +37,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-signals:
+		case <-w.hangups:
 			w.reload("signal")
 		case <-ticker.C:
 			w.reload("interval")
