gateway: write every response before a stopping process exits

What callers saw: from 4 s after SIGTERM, a response, a refusal or the end of a stream was cut off although the process still had seconds to write it. Cause: the drain waited for requests in flight, and a request counted as in flight until its handler returned. The server writes the response afterwards; a caller that reads slowly, or little processor time, makes that long. A request that arrived between the last count and the exit was lost as well. Class: an end is decided by a count that leaves out the last step of the work. Change: once no request is in flight, the server shuts down: it closes its address and idle connections, and waits, until the latest time of the exit, for each connection on which a request is being read, handled or answered. After that no request can be read any more.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"context"
 	"sync"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/mimosaward/mimosaward/internal/dispatch"
 	"github.com/mimosaward/mimosaward/internal/event"
 )
@@ -58,8 +61,10 @@
 }
 
 // drainRequests withdraws the gateway from the directory and serves until no request is in
-// flight, for at least minDrainTime and at most the grace period less drainMargin.
-func (g *Gateway) drainRequests() {
+// flight, for at least minDrainTime. Then it closes the callers' address and waits until
+// every response is written. It returns drainMargin before the end of the grace period at
+// the latest.
+func (g *Gateway) drainRequests(callers *fasthttp.Server) {
 	start := time.Now()
 	exitAt := start.Add(g.bounds.Load().GracePeriod - drainMargin)
 	g.drain.start(start, exitAt)
@@ -70,14 +75,17 @@
 		}
 		time.Sleep(drainPollInterval)
 	}
-	g.logDrainEnded(start)
+	ctx, cancel := context.WithDeadline(context.Background(), exitAt)
+	defer cancel()
+	g.logDrainEnded(start, callers.ShutdownWithContext(ctx))
 }
 
-// logDrainEnded logs the end of the drain and the requests that the exit cuts off.
-func (g *Gateway) logDrainEnded(start time.Time) {
+// logDrainEnded logs the end of the drain and the requests that the exit cuts off. err is
+// the error of the server's shutdown.
+func (g *Gateway) logDrainEnded(start time.Time, err error) {
 	inFlight := g.requests.all()
 	g.Log.Emit(event.DrainEnded, event.Fields{
-		"inFlight": len(inFlight), "busyConnections": g.connections.active(), "tookMs": time.Since(start).Milliseconds(),
+		"inFlight": len(inFlight), "busyConnections": g.connections.active(), "tookMs": time.Since(start).Milliseconds(), "error": errorText(err),
 	})
 	for _, r := range inFlight[:min(len(inFlight), maxCutRecords)] {
 		r.logCut(time.Since(start))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,16 +101,18 @@
 	group.Every(disconnectCheckInterval, func(context.Context) { g.requests.cancelDisconnected(g.Disconnected) })
 	group.Every(sweepInterval, func(context.Context) { g.pool.Sweep() })
 	serveErrors := make(chan error, 3)
-	handlers := map[string]fasthttp.RequestHandler{
-		g.Deployment.Listen.Clients:   g.handleRequest,
-		g.Deployment.Listen.Readiness: g.handleReadiness,
-		g.Deployment.Listen.Directory: g.handleDirectory,
+	callers := newServer(g.handleRequest)
+	callers.ConnState = g.connections.setState
+	servers := map[string]*fasthttp.Server{
+		g.Deployment.Listen.Clients:   callers,
+		g.Deployment.Listen.Readiness: newServer(g.handleReadiness),
+		g.Deployment.Listen.Directory: newServer(g.handleDirectory),
 	}
 	// The group's tasks return on their own after Stop; the process does not wait for
 	// them.
 	defer group.Stop()
 	defer func() { _ = controlListener.Close() }()
-	for address, handler := range handlers {
+	for address, server := range servers {
 		if address == "" {
 			continue
 		}
@@ -119,10 +121,6 @@
 			return errors.Wrapf(err, "listen on %s", address)
 		}
 		defer func() { _ = listener.Close() }()
-		server := newServer(handler)
-		if address == g.Deployment.Listen.Clients {
-			server.ConnState = g.connections.setState
-		}
 		group.Go(func(context.Context) { serveErrors <- server.Serve(listener) })
 	}
 	g.Log.Emit(event.ProcessStarted, event.Fields{"address": g.Deployment.Listen.Clients})
@@ -130,7 +128,7 @@
 	case err := <-serveErrors:
 		return err
 	case <-stop.Done():
-		g.drainRequests()
+		g.drainRequests(callers)
 		return nil
 	}
 }
@@ -193,7 +191,7 @@
 func newServer(handler fasthttp.RequestHandler) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler: handler, ReadBufferSize: readBufferBytes, MaxRequestBodySize: maxBodyBytes,
-		ReadTimeout: clientReadTimeout, IdleTimeout: clientIdleTimeout, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
+		ReadTimeout: clientReadTimeout, IdleTimeout: clientIdleTimeout, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true, CloseOnShutdown: true,
 		DisablePreParseMultipartForm: true, Logger: discardLogger{},
 	}
 }
