gateway: answer the requests that have no response when a stop ends

What callers saw: a request accepted early in a drain, whose endpoint had not responded 7 s after SIGTERM, ended with a closed connection. Cause: at the latest time of the exit the process simply ended. One second before SIGKILL there is time left to answer. Change: at that time the requests in flight are canceled, so each one without a response gets its final one at once, 502 as it may have run; the process then waits up to 0.3 s until these are written. Event 4120 is logged for each of them before. Evidence: TestPlannedStopAnswersRequestsWithoutResponse, a stream sent 2.5 s after the stop began to an engine that hangs, failed before with EOF after 4.5 s; now it gets 502.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -18,8 +18,10 @@
 	// minDrainTime is how long a stopping gateway runs at least, so that the callers that
 	// still use its address are answered.
 	minDrainTime = 4 * time.Second
-	// drainMargin is how long before the end of the grace period the gateway exits.
+	// drainMargin is how long before the end of the grace period the gateway cancels the
+	// requests in flight. answerTime is how long it then waits until they are answered.
 	drainMargin = time.Second
+	answerTime  = 300 * time.Millisecond
 	// drainPollInterval is how often the requests in flight are counted.
 	drainPollInterval = 50 * time.Millisecond
 	// maxCutRecords is the maximum number of requests that are logged one by one when the
@@ -39,7 +41,7 @@
 	exitAt    time.Time
 }
 
-// start begins the stop, which ends at exitAt at the latest.
+// start begins the stop. The requests in flight are canceled at exitAt.
 func (d *drain) start(now, exitAt time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -53,7 +55,7 @@
 }
 
 // accepts reports whether a request may be accepted: one that arrives after acceptWindow
-// must have its final response before the gateway exits.
+// must have its final response before exitAt.
 func (d *drain) accepts(deadline, now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -62,8 +64,8 @@
 
 // drainRequests withdraws the gateway from the directory and serves until no request is in
 // flight, for at least minDrainTime. Then it closes the callers' address and waits until
-// every response is written. It returns drainMargin before the end of the grace period at
-// the latest.
+// every response is written. drainMargin before the end of the grace period, it cancels
+// the requests that are still in flight.
 func (g *Gateway) drainRequests(callers *fasthttp.Server) {
 	start := time.Now()
 	exitAt := start.Add(g.bounds.Load().GracePeriod - drainMargin)
@@ -75,19 +77,23 @@
 		}
 		time.Sleep(drainPollInterval)
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), exitAt)
+	cut := time.AfterFunc(time.Until(exitAt), func() { g.cutRequests(start) })
+	defer cut.Stop()
+	ctx, cancel := context.WithDeadline(context.Background(), exitAt.Add(answerTime))
 	defer cancel()
-	g.logDrainEnded(start, callers.ShutdownWithContext(ctx))
-}
-
-// logDrainEnded logs the end of the drain and the requests that the exit cuts off. err is
-// the error of the server's shutdown.
-func (g *Gateway) logDrainEnded(start time.Time, err error) {
-	inFlight := g.requests.all()
+	err := callers.ShutdownWithContext(ctx)
 	g.Log.Emit(event.DrainEnded, event.Fields{
-		"inFlight": len(inFlight), "busyConnections": g.connections.active(), "tookMs": time.Since(start).Milliseconds(), "error": errorText(err),
+		"inFlight": g.requests.count(), "busyConnections": g.connections.active(), "tookMs": time.Since(start).Milliseconds(), "error": errorText(err),
 	})
-	for _, r := range inFlight[:min(len(inFlight), maxCutRecords)] {
-		r.logCut(time.Since(start))
+}
+
+// cutRequests cancels the requests in flight, so that those without a response are answered
+// before the process exits.
+func (g *Gateway) cutRequests(start time.Time) {
+	for index, r := range g.requests.all() {
+		if index < maxCutRecords {
+			r.logCut(time.Since(start))
+		}
+		r.cancel()
 	}
 }
--- a/internal/integration/stop_test.go
+++ b/internal/integration/stop_test.go
@@ -92,3 +92,23 @@
 		callers.Wait()
 	})
 }
+
+// Guards against a process that exits without an answer to a request that it accepted early
+// in the drain and whose endpoint has not responded.
+func TestPlannedStopAnswersRequestsWithoutResponse(t *testing.T) {
+	withInstallation(t, func(i *installation) {
+		i.setFaults("drafts", platformtest.EndpointFaults{Hang: true})
+		callers := concurrency.NewGroup(context.Background())
+		callers.Go(func(context.Context) { i.stopProcess(gatewayName(0)) })
+		time.Sleep(2500 * time.Millisecond)
+		call := i.chatCall(0)
+		callers.Go(func(context.Context) {
+			response, err := platformtest.Do(i.network.ForProcess("caller").Dial, call)
+			if err != nil || response.Status != 502 || !response.Complete || response.Duration > call.Timeout {
+				t.Errorf("response %+v, error %v; want a complete response with status 502", response, err)
+			}
+		})
+		callers.Wait()
+		i.setFaults("drafts", platformtest.EndpointFaults{})
+	})
+}
