sockets: keep accepting after an error that passes

What callers saw: a gateway that had no free file descriptor for one more connection ended, and with it every request that it had accepted. Cause: the HTTP server treats each error of Accept except a timeout as permanent; Run then returns it and the process exits. The control server just stopped to accept.

--- a/cmd/mimosaward-loader/main.go
+++ b/cmd/mimosaward-loader/main.go
@@ -18,7 +18,7 @@
 		Run: func(ctx context.Context, env cli.Environment) error {
 			process := &loader.Loader{
 				Deployment: env.Deployment, Log: env.Log, Registry: env.Registry,
-				Listen: sockets.Listen, Dial: sockets.DialFailFast, DialControl: sockets.Dial,
+				Listen: sockets.NewListen(env.LogAcceptError), Dial: sockets.DialFailFast, DialControl: sockets.Dial,
 			}
 			return process.Run(ctx)
 		},
--- a/internal/cli/platformdaemon.go
+++ b/internal/cli/platformdaemon.go
@@ -50,6 +50,11 @@
 	Reload <-chan deployment.Deployment
 }
 
+// LogAcceptError logs that a connection to an address could not be accepted.
+func (e *Environment) LogAcceptError(address string, err error) {
+	e.Log.Emit(event.AcceptFailed, event.Fields{"address": address, "error": err.Error()})
+}
+
 // Main parses the arguments, runs the program until SIGTERM or SIGINT, and returns the
 // exit status. SIGHUP never ends the program, also not while it starts or drains.
 func (d *PlatformDaemonCommand) Main(args []string, streams Streams) int {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -38,6 +38,7 @@
 	ProcessStopped    = Event{1009, logrus.InfoLevel, "process stopped", noAction}
 	SettingsReloaded  = Event{1010, logrus.InfoLevel, "settings reloaded", noAction}
 	SettingsIgnored   = Event{1011, logrus.WarnLevel, "changed settings ignored", "Fix the settings file; the process keeps using the previous settings."}
+	AcceptFailed      = Event{1012, logrus.WarnLevel, "connection could not be accepted, will retry", "If this repeats, raise the limit of file descriptors or add instances."}
 	InvariantViolated = Event{1006, logrus.ErrorLevel, "invariant violated", "Report a bug with the log of the instance; the operation was refused."}
 )
 
@@ -110,7 +111,7 @@
 // Catalogue returns all events in ascending order of their numbers.
 func Catalogue() []Event {
 	return []Event{
-		ProcessStarted, DrainStarted, DrainEnded, DrainTimedOut, ServerFailed, InvariantViolated, RecordsSuppressed, RecordsDropped, ProcessStopped, SettingsReloaded, SettingsIgnored,
+		ProcessStarted, DrainStarted, DrainEnded, DrainTimedOut, ServerFailed, InvariantViolated, RecordsSuppressed, RecordsDropped, ProcessStopped, SettingsReloaded, SettingsIgnored, AcceptFailed,
 		TicketsApplied, StoreUnreachable, StoreReachable, ParentChanged, FreshnessLost, FreshnessRestored, TicketUnreadable,
 		ConfigurationApplied, ObjectUnreadable, ZoneEvacuated, ZoneReturned, RolloutRequested,
 		GatewayAlive, GatewayUnresponsive, SnapshotAdopted, SnapshotFailed,
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -52,8 +52,17 @@
 	return Dial(ctx, address)
 }
 
-// Listen listens for TCP connections on an address.
-func Listen(address string) (net.Listener, error) { return net.Listen("tcp4", address) }
+// NewListen returns a function that listens for TCP connections on an address with a
+// Listener. onError is called with each error of Accept that passes.
+func NewListen(onError func(address string, err error)) func(address string) (net.Listener, error) {
+	return func(address string) (net.Listener, error) {
+		listener, err := net.Listen("tcp4", address)
+		if err != nil {
+			return nil, err
+		}
+		return &Listener{Listener: listener, OnError: func(err error) { onError(address, err) }}, nil
+	}
+}
 
 // ClosedByPeer reports whether the peer closed a connection. A connection with unread
 // bytes does not count as closed.
