gateway: do not count an attempt that the gateway aborted against its endpoint

What callers saw: while callers left before their response, sound endpoints were out of use for 0.25 to 4 s, so that others were refused. Cause: when a caller leaves, the attempt is aborted, and the aborted read was recorded as a failure of the endpoint: backoff and failure rate. A retryable request was even sent to another endpoint afterwards. Change: an attempt that fails after the request was canceled has no outcome, and no other attempt follows. Evidence: TestDisconnectedCallerDoesNotCountAgainstEndpoint failed before with a failure rate of 0.136 for each endpoint that a caller had left, now 0.

--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -29,7 +29,9 @@
 	body, err := a.exchange.ReadAll(r.deadline)
 	if err != nil {
 		a.discard()
-		a.grant.Record(dispatch.Failed)
+		if r.ctx.Err() == nil {
+			a.grant.Record(dispatch.Failed)
+		}
 		r.refuse(possiblyExecuted("answerBroken"))
 		return
 	}
@@ -82,7 +84,7 @@
 			unsent++
 		}
 		switch {
-		case failed.mayHaveRun && !r.route.Retryable():
+		case r.ctx.Err() != nil, failed.mayHaveRun && !r.route.Retryable():
 			return nil, lastRefusal
 		case attempts >= r.route.MaxAttempts || unsent >= maxUnsentAttempts:
 			return nil, lastRefusal
@@ -96,6 +98,12 @@
 // to the client if no other attempt follows.
 func (r *request) recordFailure(grant *dispatch.Grant, failed *failure, lastRefusal *refusal) *refusal {
 	switch {
+	case r.ctx.Err() != nil:
+		// The gateway aborted the attempt, which says nothing about the endpoint.
+		if failed.mayHaveRun {
+			return possiblyExecuted("canceled")
+		}
+		return lastRefusal
 	case failed.mayHaveRun:
 		grant.Record(dispatch.Failed)
 		return possiblyExecuted("endpointFailed")
--- a/internal/integration/disconnect_test.go
+++ b/internal/integration/disconnect_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -59,3 +60,21 @@
 		}
 	})
 }
+
+// Guards against callers that leave before their response taking a sound endpoint out of
+// use: the aborted attempt says nothing about the endpoint.
+func TestDisconnectedCallerDoesNotCountAgainstEndpoint(t *testing.T) {
+	withInstallation(t, func(i *installation) {
+		for service, call := range map[string]platformtest.Request{"drafts": i.chatCall(0), "booking": i.call(0, "/book/1")} {
+			i.setFaults(service, platformtest.EndpointFaults{Hang: true})
+			call.DisconnectAfter = 5 * time.Millisecond
+			_, _ = platformtest.Do(i.network.ForProcess("caller").Dial, call)
+		}
+		time.Sleep(maxReleaseTime)
+		if failureRates := i.metricValues(gatewayName(0), "mimosaward_endpoint_failure_share"); slices.Max(failureRates) > 0 {
+			t.Errorf("failure rates %v after callers left, want 0 for every endpoint", failureRates)
+		}
+		i.setFaults("drafts", platformtest.EndpointFaults{})
+		i.setFaults("booking", platformtest.EndpointFaults{})
+	})
+}
--- a/internal/integration/installation_test.go
+++ b/internal/integration/installation_test.go
@@ -360,3 +360,24 @@
 	}
 	return response.Body
 }
+
+// metricValues returns the values of a gauge of a gateway, one for each of its labels.
+func (i *installation) metricValues(gateway, name string) []float64 {
+	families, err := i.metrics[gateway].Gather()
+	if err != nil {
+		i.t.Errorf("gather the metrics of %s: %v", gateway, err)
+	}
+	var values []float64
+	for _, family := range families {
+		if family.GetName() != name {
+			continue
+		}
+		for _, metric := range family.GetMetric() {
+			values = append(values, metric.GetGauge().GetValue())
+		}
+	}
+	if len(values) == 0 {
+		i.t.Fatalf("%s has no metric %s", gateway, name)
+	}
+	return values
+}
