gateway: keep 502 when a later attempt was refused

What callers saw: 503, which promises that a request did not run, for an idempotent request that one endpoint ran without a response and the next one refused. Cause: the refusal of the last attempt replaced that of an earlier one. Change: once an attempt may have been executed, a refusal of a later one does not replace it. Evidence: TestRefusalAfterLostResponseDoesNotClaimNotExecuted failed before with status 503 and one run, now 502. Requests that run at most once were not affected: no attempt follows one that may have run.

--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -109,10 +109,10 @@
 		return possiblyExecuted("endpointFailed")
 	case failed.misdirected:
 		grant.Record(dispatch.Misdirected)
-		return notExecuted(dispatch.NoEndpoint, defaultRetryAfter)
+		return lastRefusal.unlessExecuted(notExecuted(dispatch.NoEndpoint, defaultRetryAfter))
 	case failed.sent:
 		grant.Record(dispatch.Refused)
-		return notExecuted(dispatch.Overloaded, defaultRetryAfter)
+		return lastRefusal.unlessExecuted(notExecuted(dispatch.Overloaded, defaultRetryAfter))
 	default:
 		grant.Record(dispatch.Failed)
 		return lastRefusal
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -29,6 +29,15 @@
 	return &refusal{status: fasthttp.StatusBadGateway, reason: reason}
 }
 
+// unlessExecuted returns next, which is the refusal of a later attempt, unless an earlier
+// attempt may have been executed.
+func (r *refusal) unlessExecuted(next *refusal) *refusal {
+	if r.status == fasthttp.StatusServiceUnavailable {
+		return next
+	}
+	return r
+}
+
 // refuse logs a refusal and sends it to the client.
 func (r *request) refuse(refused *refusal) {
 	r.logRefused(refused)
--- a/internal/integration/outcome_test.go
+++ b/internal/integration/outcome_test.go
@@ -77,6 +77,20 @@
 	})
 }
 
+// Guards against 503, which means that a request did not run, for a request that one endpoint
+// ran without a response and the next one refused.
+func TestRefusalAfterLostResponseDoesNotClaimNotExecuted(t *testing.T) {
+	withInstallation(t, func(i *installation) {
+		i.setFaults("booking", platformtest.EndpointFaults{Overloaded: true})
+		i.endpoints["booking-0-0"].SetFaults(platformtest.EndpointFaults{DropResponses: true})
+		call := i.call(0, "/status/1")
+		response := i.do(call)
+		if runs, _ := i.runsOfAttempt(call.AttemptID); response.Status != 502 || len(runs) != 1 {
+			t.Errorf("status %d, %d runs; want 502 and one run", response.Status, len(runs))
+		}
+	})
+}
+
 // A response that belongs to another request is never forwarded.
 func TestMisdirectedResponseIsDiscarded(t *testing.T) {
 	withInstallation(t, func(i *installation) {
