cli: serve metrics and read settings until a daemon has drained

Change: both last until the program has drained. Evidence: TestMetricsWhileDraining failed before with connection refused.

--- a/internal/cli/platformdaemon.go
+++ b/internal/cli/platformdaemon.go
@@ -110,7 +110,8 @@
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector())
 	watcher := &settingsWatcher{file: options.Settings, log: log, hangups: hangups, changed: make(chan deployment.Deployment, 1)}
-	background := concurrency.NewGroup(ctx)
+	// The metrics and the watcher must last until the program has drained.
+	background := concurrency.NewGroup(context.Background())
 	background.Go(watcher.run)
 	if options.MetricsPort > 0 {
 		address := net.JoinHostPort(loaded.Instance.IP, strconv.Itoa(options.MetricsPort))
--- a/internal/cli/platformdaemon_test.go
+++ b/internal/cli/platformdaemon_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -19,6 +21,9 @@
 // with the settings file that it names.
 const settingsOfDaemon = "DAEMON_TEST_SETTINGS"
 
+// metricsPortOfDaemon is the environment variable with the port of the daemon's metrics.
+const metricsPortOfDaemon = "DAEMON_TEST_METRICS_PORT"
+
 // drainTime is how long the daemon drains. It only has to exceed the time in which the
 // process handles a signal.
 const drainTime = 500 * time.Millisecond
@@ -39,7 +44,7 @@
 		time.Sleep(drainTime)
 		return nil
 	}}
-	return command.Main([]string{"--settings", settings}, cli.Streams{Out: io.Discard, Err: os.Stderr})
+	return command.Main([]string{"--settings", settings, "--metrics-port", os.Getenv(metricsPortOfDaemon)}, cli.Streams{Out: io.Discard, Err: os.Stderr})
 }
 
 // daemonProcess is the test binary that runs as a daemon.
@@ -47,11 +52,22 @@
 	t       *testing.T
 	command *exec.Cmd
 	lines   *bufio.Scanner
+	// metricsURL is where the daemon serves its metrics.
+	metricsURL string
 }
 
 func startDaemon(t *testing.T, settings string) *daemonProcess {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	_, port, _ := net.SplitHostPort(address)
+	if err := listener.Close(); err != nil {
+		t.Fatal(err)
+	}
 	command := exec.Command(os.Args[0])
-	command.Env = append(os.Environ(), settingsOfDaemon+"="+settings)
+	command.Env = append(os.Environ(), settingsOfDaemon+"="+settings, metricsPortOfDaemon+"="+port)
 	output, err := command.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -59,7 +75,7 @@
 	if err := command.Start(); err != nil {
 		t.Fatal(err)
 	}
-	return &daemonProcess{t: t, command: command, lines: bufio.NewScanner(output)}
+	return &daemonProcess{t: t, command: command, lines: bufio.NewScanner(output), metricsURL: "http://" + address + "/metrics"}
 }
 
 func (d *daemonProcess) signal(signals ...syscall.Signal) {
@@ -118,6 +134,25 @@
 	daemon.requireExit()
 }
 
+// Guards against a daemon whose metrics end with the signal to stop, so that nothing shows
+// how it drains.
+func TestMetricsWhileDraining(t *testing.T) {
+	settings := filepath.Join(t.TempDir(), "instance.toml")
+	copySettings(t, settings)
+	daemon := startDaemon(t, settings)
+	daemon.requireLine("running")
+	daemon.signal(syscall.SIGTERM)
+	daemon.requireLine("draining")
+	time.Sleep(drainTime / 5)
+	response, err := http.Get(daemon.metricsURL)
+	if err != nil {
+		t.Errorf("get the metrics: %v", err)
+	} else if err := response.Body.Close(); err != nil || response.StatusCode != http.StatusOK {
+		t.Errorf("metrics have status %d, error %v", response.StatusCode, err)
+	}
+	daemon.requireExit()
+}
+
 // Guards against a process that ends when it receives SIGHUP before it has read its
 // settings.
 func TestHangupWhileStartingDoesNotEndProcess(t *testing.T) {
