cli: reload settings that change while a daemon starts

Cause: the first check of the settings watcher only recorded the content of the file. A change between the daemon's own read and that check was never applied, also not at a later SIGHUP. Change: the watcher starts from the deployment that the daemon has loaded. Evidence: TestSettingsChangedBeforeFirstCheckAreReloaded failed before.

--- a/internal/cli/platformdaemon.go
+++ b/internal/cli/platformdaemon.go
@@ -109,7 +109,7 @@
 	defer stop()
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector())
-	watcher := &settingsWatcher{file: options.Settings, log: log, hangups: hangups, changed: make(chan deployment.Deployment, 1)}
+	watcher := &settingsWatcher{file: options.Settings, log: log, hangups: hangups, changed: make(chan deployment.Deployment, 1), last: loaded}
 	// The metrics and the watcher must last until the program has drained.
 	background := concurrency.NewGroup(context.Background())
 	background.Go(watcher.run)
--- a/internal/cli/settingswatcher.go
+++ b/internal/cli/settingswatcher.go
@@ -23,6 +23,7 @@
 	hangups <-chan os.Signal
 	changed chan deployment.Deployment
 
+	// last is the deployment in effect: at first the one that the process has loaded.
 	last        deployment.Deployment
 	lastContent string
 }
@@ -46,8 +47,7 @@
 }
 
 // reload reads the file and, if the settings differ from the last valid ones, sends the
-// new deployment on w.changed. It replaces an unread deployment there. The first read
-// only records the settings, which the process has loaded at its start.
+// new deployment on w.changed. It replaces an unread deployment there.
 func (w *settingsWatcher) reload(cause string) {
 	content, err := os.ReadFile(w.file)
 	if err != nil {
@@ -57,15 +57,13 @@
 	if string(content) == w.lastContent {
 		return
 	}
-	initial := w.lastContent == ""
 	w.lastContent = string(content)
 	next, err := platform.LoadSettings(w.file)
 	if err != nil {
 		w.log.Emit(event.SettingsIgnored, event.Fields{"cause": cause, "error": err.Error()})
 		return
 	}
-	if initial || reflect.DeepEqual(next, w.last) {
-		w.last = next
+	if reflect.DeepEqual(next, w.last) {
 		return
 	}
 	w.last = next
