cli: survive a closed log output, and SIGHUP in every daemon

What callers saw: when the reader of a gateway's log ended, the gateway ended with it at its next record, with all its requests; and entries and agents, which have no settings to reload, ended by SIGHUP. Change: one function protects every daemon, before anything else in Main. Evidence: TestClosedLogDoesNotEndProcess failed before with "signal: broken pipe", TestHangupDoesNotEndOwnDaemon with "signal: hangup". In the first milliseconds of a process, before Main runs, SIGHUP still ends it; it has accepted nothing then.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -51,8 +51,9 @@
 }
 
 // Main parses the arguments, runs the daemon until SIGTERM or SIGINT, and
-// returns the exit status.
+// returns the exit status. SIGHUP has no effect.
 func (d *DaemonCommand) Main(args []string, streams Streams) int {
+	_ = protectFromSignals()
 	var options DaemonOptions
 	parser := flags.NewNamedParser(d.Name, flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = d.Description
--- a/internal/cli/platformdaemon_test.go
+++ b/internal/cli/platformdaemon_test.go
@@ -4,17 +4,19 @@
 	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/mimosaward/mimosaward/internal/cli"
+	"github.com/mimosaward/mimosaward/internal/event"
+	"github.com/mimosaward/mimosaward/internal/settings"
 )
 
 // settingsOfDaemon is the environment variable that makes the test binary run as a daemon
@@ -28,23 +30,41 @@
 // process handles a signal.
 const drainTime = 500 * time.Millisecond
 
+// ownSettings is the name of the settings file that makes the test binary run as a
+// DaemonCommand.
+const ownSettings = "own.json"
+
+// logRecordBytes is the size of the record that the daemon logs: more than a pipe holds.
+const logRecordBytes = 128 << 10
+
 func TestMain(m *testing.M) {
-	if settings := os.Getenv(settingsOfDaemon); settings != "" {
-		os.Exit(runDaemon(settings))
+	switch file := os.Getenv(settingsOfDaemon); {
+	case file == "":
+		os.Exit(m.Run())
+	case filepath.Base(file) == ownSettings:
+		command := &cli.DaemonCommand{
+			Name: "daemon", Load: func(string) (settings.Log, string, error) {
+				return settings.Log{Format: "json", Level: "info"}, "own", nil
+			},
+			Run: func(ctx context.Context, _ *event.Logger) error { return runDaemon(ctx) },
+		}
+		os.Exit(command.Main([]string{"--settings", file}, cli.Streams{Out: os.Stdout, Err: os.Stderr}))
+	default:
+		command := &cli.PlatformDaemonCommand{Name: "daemon", Run: func(ctx context.Context, env cli.Environment) error {
+			env.Log.Emit(event.ProcessStarted, event.Fields{"address": strings.Repeat("a", logRecordBytes)})
+			return runDaemon(ctx)
+		}}
+		os.Exit(command.Main([]string{"--settings", file, "--metrics-port", os.Getenv(metricsPortOfDaemon)}, cli.Streams{Out: os.Stdout, Err: os.Stderr}))
 	}
-	os.Exit(m.Run())
 }
 
-// runDaemon runs a daemon that prints "running" and, when it is asked to stop, "draining".
-func runDaemon(settings string) int {
-	command := &cli.PlatformDaemonCommand{Name: "daemon", Run: func(ctx context.Context, _ cli.Environment) error {
-		fmt.Fprintln(os.Stderr, "running")
-		<-ctx.Done()
-		fmt.Fprintln(os.Stderr, "draining")
-		time.Sleep(drainTime)
-		return nil
-	}}
-	return command.Main([]string{"--settings", settings, "--metrics-port", os.Getenv(metricsPortOfDaemon)}, cli.Streams{Out: io.Discard, Err: os.Stderr})
+// runDaemon prints "running" and, when it is asked to stop, "draining".
+func runDaemon(ctx context.Context) error {
+	fmt.Fprintln(os.Stderr, "running")
+	<-ctx.Done()
+	fmt.Fprintln(os.Stderr, "draining")
+	time.Sleep(drainTime)
+	return nil
 }
 
 // daemonProcess is the test binary that runs as a daemon.
@@ -56,7 +76,11 @@
 	metricsURL string
 }
 
-func startDaemon(t *testing.T, settings string) *daemonProcess {
+// discardLog makes the daemon log to the null device.
+func discardLog(*exec.Cmd) {}
+
+// startDaemon starts a daemon. connectLog may set its standard output, which is its log.
+func startDaemon(t *testing.T, settings string, connectLog func(*exec.Cmd)) *daemonProcess {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -68,6 +92,7 @@
 	}
 	command := exec.Command(os.Args[0])
 	command.Env = append(os.Environ(), settingsOfDaemon+"="+settings, metricsPortOfDaemon+"="+port)
+	connectLog(command)
 	output, err := command.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -124,7 +149,7 @@
 func TestHangupWhileDrainingDoesNotEndProcess(t *testing.T) {
 	settings := filepath.Join(t.TempDir(), "instance.toml")
 	copySettings(t, settings)
-	daemon := startDaemon(t, settings)
+	daemon := startDaemon(t, settings, discardLog)
 	daemon.requireLine("running")
 	daemon.signal(syscall.SIGTERM)
 	daemon.requireLine("draining")
@@ -134,12 +159,65 @@
 	daemon.requireExit()
 }
 
+// Guards against a process that ends when it receives SIGHUP although it has no settings to
+// reload.
+func TestHangupDoesNotEndOwnDaemon(t *testing.T) {
+	daemon := startDaemon(t, filepath.Join(t.TempDir(), ownSettings), discardLog)
+	daemon.requireLine("running")
+	daemon.signal(syscall.SIGHUP, syscall.SIGTERM)
+	daemon.requireLine("draining")
+	daemon.signal(syscall.SIGHUP)
+	daemon.requireExit()
+}
+
+// Guards against a process that ends, with all its requests, when the reader of its log does.
+func TestClosedLogDoesNotEndProcess(t *testing.T) {
+	settings := filepath.Join(t.TempDir(), "instance.toml")
+	copySettings(t, settings)
+	daemon := startDaemon(t, settings, func(command *exec.Cmd) {
+		reader, writer, err := os.Pipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := reader.Close(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = writer.Close() })
+		command.Stdout = writer
+	})
+	daemon.requireLine("running")
+	daemon.signal(syscall.SIGTERM)
+	daemon.requireLine("draining")
+	daemon.requireExit()
+}
+
+// Guards against a process that never exits because nobody reads its log.
+func TestUnreadLogDoesNotKeepProcessRunning(t *testing.T) {
+	settings := filepath.Join(t.TempDir(), "instance.toml")
+	copySettings(t, settings)
+	daemon := startDaemon(t, settings, func(command *exec.Cmd) {
+		reader, writer, err := os.Pipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _, _ = reader.Close(), writer.Close() })
+		command.Stdout = writer
+	})
+	daemon.requireLine("running")
+	daemon.signal(syscall.SIGTERM)
+	daemon.requireLine("draining")
+	// A process that waits for its log would not end before it is killed.
+	timer := time.AfterFunc(20*drainTime, func() { _ = daemon.command.Process.Kill() })
+	defer timer.Stop()
+	daemon.requireExit()
+}
+
 // Guards against a daemon whose metrics end with the signal to stop, so that nothing shows
 // how it drains.
 func TestMetricsWhileDraining(t *testing.T) {
 	settings := filepath.Join(t.TempDir(), "instance.toml")
 	copySettings(t, settings)
-	daemon := startDaemon(t, settings)
+	daemon := startDaemon(t, settings, discardLog)
 	daemon.requireLine("running")
 	daemon.signal(syscall.SIGTERM)
 	daemon.requireLine("draining")
@@ -160,7 +238,7 @@
 	if err := syscall.Mkfifo(settings, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	daemon := startDaemon(t, settings)
+	daemon := startDaemon(t, settings, discardLog)
 	// Opening the pipe waits until the process reads its settings.
 	pipe, err := os.OpenFile(settings, os.O_WRONLY, 0)
 	if err != nil {
--- /dev/null
+++ b/internal/cli/signals.go
@@ -0,0 +1,18 @@
+package cli
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+// protectFromSignals returns a channel that receives SIGHUP and makes the process survive a
+// closed log output. It must be called first and holds until the process exits: without it,
+// SIGHUP, or a write to a log output whose reader has gone, would end the process with all its
+// requests.
+func protectFromSignals() <-chan os.Signal {
+	signal.Ignore(syscall.SIGPIPE)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
