cli: exit although nobody reads the log

Cause: after the drain the process waited without limit until the queued records were written. With a full pipe as log output it never ended, also after the failure of a server, so it was not restarted. Change: the last records have 0.3 s.

--- a/internal/cli/platformdaemon.go
+++ b/internal/cli/platformdaemon.go
@@ -58,9 +58,7 @@
 // Main parses the arguments, runs the program until SIGTERM or SIGINT, and returns the
 // exit status. SIGHUP never ends the program, also not while it starts or drains.
 func (d *PlatformDaemonCommand) Main(args []string, streams Streams) int {
-	// Without a receiver, which must exist as long as the process, SIGHUP would end it.
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+	hangups := protectFromSignals()
 	var options PlatformDaemonOptions
 	parser := flags.NewNamedParser(d.Name, flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = d.Description
@@ -103,8 +101,7 @@
 	log := logger.Queued()
 	logWriter := concurrency.NewGroup(context.Background())
 	logWriter.Go(log.Run)
-	defer logWriter.Wait()
-	defer logWriter.Stop()
+	defer flushLog(logWriter)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	registry := prometheus.NewRegistry()
@@ -128,6 +125,25 @@
 	return ExitSuccess
 }
 
+// logFlushTimeout bounds the time in which the last records are written: a log output that
+// nobody reads must not keep the process running.
+const logFlushTimeout = 300 * time.Millisecond
+
+// flushLog stops the log writer and waits until it has written the queued records.
+func flushLog(logWriter *concurrency.Group) {
+	logWriter.Stop()
+	flushed := make(chan struct{})
+	waiter := concurrency.NewGroup(context.Background())
+	waiter.Go(func(context.Context) {
+		logWriter.Wait()
+		close(flushed)
+	})
+	select {
+	case <-flushed:
+	case <-time.After(logFlushTimeout):
+	}
+}
+
 // metricsTimeout is the timeout for reading the headers of a metrics request and for
 // writing its response.
 const metricsTimeout = 2 * time.Second
