gateway: derive the times of a stop from the grace period

What callers would see with a grace period below 5 s: requests accepted without the time to serve them, cut before the last sixth of the period; with 3 s or less, a request whose body was complete after the cut still ran. Cause: the windows of a stop were constants. The window in which every request is accepted also counted from when the signal was handled, so a request sent just over 3 s after the signal could be accepted and then cut. Change: a schedule holds the times: every request is accepted for 2.8 s or half of the time until the cut, none after the cut; the cut is 1 s or a sixth of the period before its end. A request that a stop cuts off counts as failed, no longer as one whose caller left (cause of the cancellation).

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/mimosaward/mimosaward/internal/dispatch"
@@ -12,20 +13,13 @@
 )
 
 const (
-	// acceptWindow is how long a stopping gateway still accepts every request: callers
-	// use a directory response for up to three times its TTL.
-	acceptWindow = 3 * time.Second
 	// minDrainTime is how long a stopping gateway runs at least, so that the callers that
 	// still use its address are answered.
 	minDrainTime = 4 * time.Second
-	// drainMargin is how long before the end of the grace period the gateway cancels the
-	// requests in flight. answerTime is how long it then waits until they are answered.
-	drainMargin = time.Second
-	answerTime  = 300 * time.Millisecond
 	// drainPollInterval is how often the requests in flight are counted.
 	drainPollInterval = 50 * time.Millisecond
-	// maxCutRecords is the maximum number of requests that are logged one by one when the
-	// process exits.
+	// maxCutRecords is the maximum number of requests that are logged one by one when they
+	// are cut off.
 	maxCutRecords = 64
 	// reasonStopping is the reason for refusals by a stopping gateway, and
 	// stoppingRetryAfter their retry delay: another gateway can serve the request at once.
@@ -33,57 +27,57 @@
 	stoppingRetryAfter = 50 * time.Millisecond
 )
 
+// errStopping is the cause of the cancellation of the requests that a stop cuts off.
+var errStopping = errors.New("the gateway is stopping")
+
 // drain is the state of a planned stop. The zero value is a gateway that does not stop.
 // It is safe for concurrent use.
 type drain struct {
-	mu        sync.Mutex
-	startedAt time.Time
-	exitAt    time.Time
+	mu       sync.Mutex
+	schedule *drainSchedule
 }
 
-// start begins the stop. The requests in flight are canceled at exitAt.
-func (d *drain) start(now, exitAt time.Time) {
+// start begins the stop.
+func (d *drain) start(schedule drainSchedule) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.startedAt, d.exitAt = now, exitAt
+	d.schedule = &schedule
 }
 
 func (d *drain) started() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return !d.startedAt.IsZero()
+	return d.schedule != nil
 }
 
-// accepts reports whether a request may be accepted: one that arrives after acceptWindow
-// must have its final response before exitAt.
+// accepts reports whether a request may be accepted.
 func (d *drain) accepts(deadline, now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.startedAt.IsZero() || now.Sub(d.startedAt) < acceptWindow || deadline.Before(d.exitAt)
+	return d.schedule == nil || d.schedule.accepts(deadline, now)
 }
 
 // drainRequests withdraws the gateway from the directory and serves until no request is in
 // flight, for at least minDrainTime. Then it closes the callers' address and waits until
-// every response is written. drainMargin before the end of the grace period, it cancels
-// the requests that are still in flight.
+// every response is written. It cancels the requests that are still in flight when the
+// schedule says so.
 func (g *Gateway) drainRequests(callers *fasthttp.Server) {
-	start := time.Now()
-	exitAt := start.Add(g.bounds.Load().GracePeriod - drainMargin)
-	g.drain.start(start, exitAt)
-	g.Log.Emit(event.DrainStarted, event.Fields{"inFlight": g.requests.count()})
-	for time.Now().Before(exitAt) {
-		if time.Since(start) > minDrainTime && g.requests.count() == 0 {
+	schedule := newDrainSchedule(time.Now(), g.bounds.Load().GracePeriod)
+	g.drain.start(schedule)
+	g.Log.Emit(event.DrainStarted, event.Fields{"inFlight": g.requests.count(), "cutAfterMs": schedule.cutAt.Sub(schedule.startedAt).Milliseconds()})
+	for time.Now().Before(schedule.cutAt) {
+		if time.Since(schedule.startedAt) > minDrainTime && g.requests.count() == 0 {
 			break
 		}
 		time.Sleep(drainPollInterval)
 	}
-	cut := time.AfterFunc(time.Until(exitAt), func() { g.cutRequests(start) })
+	cut := time.AfterFunc(time.Until(schedule.cutAt), func() { g.cutRequests(schedule.startedAt) })
 	defer cut.Stop()
-	ctx, cancel := context.WithDeadline(context.Background(), exitAt.Add(answerTime))
+	ctx, cancel := context.WithDeadline(context.Background(), schedule.exitAt)
 	defer cancel()
 	err := callers.ShutdownWithContext(ctx)
 	g.Log.Emit(event.DrainEnded, event.Fields{
-		"inFlight": g.requests.count(), "busyConnections": g.connections.active(), "tookMs": time.Since(start).Milliseconds(), "error": errorText(err),
+		"inFlight": g.requests.count(), "busyConnections": g.connections.active(), "tookMs": time.Since(schedule.startedAt).Milliseconds(), "error": errorText(err),
 	})
 }
 
@@ -94,6 +88,6 @@
 		if index < maxCutRecords {
 			r.logCut(time.Since(start))
 		}
-		r.cancel()
+		r.cancel(errStopping)
 	}
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/mimosaward/mimosaward/internal/clientrequest"
@@ -33,12 +34,18 @@
 	deadline time.Time
 	// ctx is canceled when the client disconnects or the request ends.
 	ctx    context.Context
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 	conn   net.Conn
 	// sentTo is the ID of the endpoint to which the request was last sent, nil before.
 	sentTo atomic.Pointer[string]
 }
 
+// errCallerLeft is the cause of the cancellation of a request whose client disconnected.
+var errCallerLeft = errors.New("the caller left")
+
+// callerLeft reports whether the client disconnected before the request ended.
+func (r *request) callerLeft() bool { return errors.Is(context.Cause(r.ctx), errCallerLeft) }
+
 // requestTracker tracks the requests in flight. It is safe for concurrent use.
 type requestTracker struct {
 	mu       sync.Mutex
@@ -77,7 +84,7 @@
 func (t *requestTracker) cancelDisconnected(disconnected func(net.Conn) bool) {
 	for _, r := range t.all() {
 		if disconnected(r.conn) {
-			r.cancel()
+			r.cancel(errCallerLeft)
 		}
 	}
 }
@@ -88,13 +95,13 @@
 		gateway: g, httpCtx: c, clientRequest: platform.ParseRequestHeader(&c.Request.Header), arrived: time.Now(), conn: c.Conn(),
 		configuration: g.observer.Configuration(),
 	}
-	r.ctx, r.cancel = context.WithCancel(context.Background())
+	r.ctx, r.cancel = context.WithCancelCause(context.Background())
 	g.requests.add(r)
 	return r
 }
 
 // end cancels the request's context and stops tracking it.
 func (r *request) end() {
-	r.cancel()
+	r.cancel(nil)
 	r.gateway.requests.remove(r)
 }
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -38,7 +38,7 @@
 	r.gateway.metrics.recordEnd(r, r.outcome(status, err), timeToFirst)
 	r.gateway.Log.Emit(event.RequestEnded, event.Fields{
 		"request": r.clientRequest.ID, "status": status, "firstMs": timeToFirst.Milliseconds(), "tookMs": time.Since(r.arrived).Milliseconds(),
-		"error": errorText(err), "callerLeft": r.ctx.Err() != nil,
+		"error": errorText(err), "callerLeft": r.callerLeft(),
 	})
 }
 
@@ -50,7 +50,7 @@
 	}
 	r.gateway.Log.Emit(event.RequestCut, event.Fields{
 		"request": r.clientRequest.ID, "endpoint": endpoint, "ageMs": time.Since(r.arrived).Milliseconds(), "sinceStopMs": sinceStop.Milliseconds(),
-		"patienceMs": r.clientRequest.Timeout.Milliseconds(), "callerLeft": r.ctx.Err() != nil,
+		"patienceMs": r.clientRequest.Timeout.Milliseconds(), "callerLeft": r.callerLeft(),
 	})
 }
 
@@ -72,7 +72,7 @@
 // is io.EOF if it ended normally.
 func (r *request) outcome(status int, err error) string {
 	switch {
-	case r.ctx.Err() != nil:
+	case r.callerLeft():
 		return outcomeDisconnected
 	case status >= fasthttp.StatusInternalServerError || (err != nil && !errors.Is(err, io.EOF)):
 		return outcomeFailed
--- a/internal/integration/stop_test.go
+++ b/internal/integration/stop_test.go
@@ -112,3 +112,21 @@
 		i.setFaults("drafts", platformtest.EndpointFaults{})
 	})
 }
+
+// Guards against a stream that a stop cuts off and that counts as one whose caller left.
+func TestStreamCutByStopCountsAsFailed(t *testing.T) {
+	withInstallation(t, func(i *installation) {
+		callers := concurrency.NewGroup(context.Background())
+		callers.Go(func(context.Context) { i.stopProcess(gatewayName(0)) })
+		time.Sleep(2500 * time.Millisecond)
+		call := i.chatCall(0)
+		call.OutputTokens = 600
+		if response := i.do(call); response.Status != 200 || response.Complete {
+			t.Errorf("response %+v, want a stream that is cut off", response)
+		}
+		callers.Wait()
+		if failed, left := i.requestsWithOutcome(gatewayName(0), "failed"), i.requestsWithOutcome(gatewayName(0), "callerLeft"); failed != 1 || left != 0 {
+			t.Errorf("%v requests failed, %v callers left; want 1 and 0", failed, left)
+		}
+	})
+}
