gateway: count a hung endpoint as failed although its caller left

What callers saw since: an endpoint that never responds stayed in use while its callers left before their timeout: 15 of 30 streams and 9 of 30 buffered requests ended without a response, one endpoint of several hanging. Cause: an attempt whose caller left had no outcome, however long it waited. Change: after one and a half times the route's target latency without a response it counts as failed; an earlier departure and the gateway's own stop still do not.

--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -29,7 +29,7 @@
 	body, err := a.exchange.ReadAll(r.deadline)
 	if err != nil {
 		a.discard()
-		if r.ctx.Err() == nil {
+		if r.ctx.Err() == nil || r.endpointHung() {
 			a.grant.Record(dispatch.Failed)
 		}
 		r.refuse(possiblyExecuted("answerBroken"))
@@ -99,7 +99,9 @@
 func (r *request) recordFailure(grant *dispatch.Grant, failed *failure, lastRefusal *refusal) *refusal {
 	switch {
 	case r.ctx.Err() != nil:
-		// The gateway aborted the attempt, which says nothing about the endpoint.
+		if r.endpointHung() {
+			grant.Record(dispatch.Failed)
+		}
 		if failed.mayHaveRun {
 			return possiblyExecuted("canceled")
 		}
@@ -119,6 +121,17 @@
 	}
 }
 
+// hungFactor is the multiple of the route's target latency without a response after which an
+// endpoint counts as failed although its caller left.
+const hungFactor = 1.5
+
+// endpointHung reports whether the caller left after it had waited much longer than the
+// route's target latency. An attempt that was aborted earlier, or by the gateway's own stop,
+// says nothing about its endpoint.
+func (r *request) endpointHung() bool {
+	return r.callerLeft() && time.Since(r.sentAt) > time.Duration(hungFactor*float64(r.route.TargetLatency))
+}
+
 // shouldRetry reports whether the endpoint responded with a server error to a request that
 // may be retried.
 func (r *request) shouldRetry(a *attempt) bool {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -38,6 +38,8 @@
 	conn   net.Conn
 	// sentTo is the ID of the endpoint to which the request was last sent, nil before.
 	sentTo atomic.Pointer[string]
+	// sentAt is when the request was last sent to an endpoint.
+	sentAt time.Time
 }
 
 // errCallerLeft is the cause of the cancellation of a request whose client disconnected.
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -15,6 +15,7 @@
 // selected.
 func (r *request) logSent(grant *dispatch.Grant, attempt int) {
 	r.sentTo.Store(&grant.Endpoint.ID)
+	r.sentAt = time.Now()
 	decision := grant.Decision
 	r.gateway.Log.Emit(event.RequestSent, event.Fields{
 		"request": r.clientRequest.ID, "route": r.route.Name, "endpoint": grant.Endpoint.ID, "attempt": attempt,
