gateway: pass the registered gateways on like the other objects

Callers saw nothing yet; found with TestLateGatewayIsKnown. A gateway that joined a fleet of 59 was still unknown to most others after 12 s, when the test gave up: "late gateway takes up to 12.14s, want at most 3s". A directory there never names it, and gateways that know different members compute different cells, so that an engine belongs to two cells or none.

Cause: since few gateways read the object store, the others get the objects from them, but not the registered gateways, whose informer was added after the list of shared ones was taken. Digests list other gateways only within a cell, so that a cell without a reader had no source. Up to 20 gateways are one cell, and a gateway that ran before is known; so neither the small fleets nor the tests with restarts saw it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -142,7 +142,6 @@
 	g.store = platform.NewStore(g.Deployment.Store.Address, g.DialStore)
 	g.peerTable = &peering.Table{Self: g.self, Start: time.Now()}
 	g.observer = (&storewatch.Observer{List: g.store.List, Watch: g.store.Watch, Reads: g.peerTable.IsReader, Regions: g.Deployment.Regions, Log: g.Log}).Init()
-	informers := g.observer.Informers()
 	g.observer.AddInformer(gatewayKind, memberCoalesceDelay, g.applyMembers)
 	g.dispatcher = &dispatch.Dispatcher{
 		Self: g.self, View: g.observer.ClusterState, Service: g.lookUpService, MinVersion: g.minVersion, Peers: g.peerTable.CellPeers,
@@ -154,7 +153,7 @@
 	g.controlClient = &controlrpc.Client{Dial: g.Dial}
 	g.peering = &peering.Peering{
 		Self: g.self, Table: g.peerTable, Control: g.controlClient, BulkControl: &controlrpc.Client{Dial: g.Dial}, Log: g.Log,
-		Digest: g.digest, Informers: informers, Seeds: g.Deployment.Seeds, OnDigest: g.applyDigest,
+		Digest: g.digest, Informers: g.observer.Informers(), Seeds: g.Deployment.Seeds, OnDigest: g.applyDigest,
 	}
 	g.loaderPoller = &loaderPoller{
 		Control: g.controlClient, Ports: g.Deployment.PeerPorts, Log: g.Log, Plan: g.loaderPlan, OnStatus: g.dispatcher.RecordStatus,
--- a/internal/peering/fleet_test.go
+++ b/internal/peering/fleet_test.go
@@ -190,9 +190,7 @@
 		}
 		g.copies[kind] = local
 		g.group.Go(local.Run)
-		if kind != memberKind {
-			g.informers = append(g.informers, local)
-		}
+		g.informers = append(g.informers, local)
 	}
 	peers := &peering.Peering{
 		Self: g.member, Table: g.table, Control: &controlrpc.Client{Dial: dial}, BulkControl: &controlrpc.Client{Dial: dialBulk}, Log: event.Discard(),
--- a/internal/peering/spread_test.go
+++ b/internal/peering/spread_test.go
@@ -112,6 +112,23 @@
 	})
 }
 
+// A gateway that joins a running fleet must become known to every other one: they must all
+// compute the same cells, or endpoints belong to two cells or to none.
+func TestLateGatewayIsKnown(t *testing.T) {
+	forEachFleet(t, func(t *testing.T, f *runningFleet) {
+		late := f.gateways[len(f.gateways)-1]
+		f.start(f.gateways[:len(f.gateways)-1])
+		late.start()
+		var copied, known worst
+		f.measure(func(*fleetGateway) bool { return late.hasCopies() })
+		copied.add(time.Since(late.startedAt))
+		f.measure(func(g *fleetGateway) bool { return g.lists(late) && late.lists(g) }, late)
+		known.add(time.Since(late.startedAt))
+		copied.require(t, "copies of a late gateway", contactTime)
+		known.require(t, "late gateway", contactTime)
+	})
+}
+
 // Every gateway must use a configuration and know which endpoints leave within the bounds
 // from the store's confirmation.
 func TestCopiesSpread(t *testing.T) {
