peering: replace a silent reader of the object store within a second

TestConfigurationSpreadsWithoutReaders failed with 59 gateways.

Cause: whether another gateway reads the store was taken from reports where it is in another cell, and these count as current for 2.5 s; in the own cell a digest counts for 1.5 s. The next gateway waits for that before it reads the store, and the change then still has to spread.

Change: readers belong to a cell and region, so that digests show their failure, and one that sent no digest for 0.8 s is replaced. A region with one cell keeps two readers; a region with more has one for each cell: 11 instead of 10 with 59 gateways in five regions. The number of calls on a whole site was not measured again.

--- a/internal/peering/cell.go
+++ b/internal/peering/cell.go
@@ -78,6 +78,17 @@
 // Members returns the gateways of a cell, ordered by name.
 func (c *Cells) Members(cell string) []Member { return c.members[cell] }
 
+// countIn returns the number of cells with gateways of a region, at least 1.
+func (c *Cells) countIn(region string) int {
+	count := 0
+	for _, members := range c.members {
+		if members[0].Region == region {
+			count++
+		}
+	}
+	return max(1, count)
+}
+
 // ForEndpoint returns the cell whose gateways send requests to an endpoint: one in the
 // endpoint's region or, if none there is available, any other one. It returns an empty
 // string if no cell is available.
--- a/internal/peering/fleet_test.go
+++ b/internal/peering/fleet_test.go
@@ -243,6 +243,12 @@
 	g.fleet.store.cut(g.member.Name, true)
 }
 
+// reconnect reverses cutOff.
+func (g *fleetGateway) reconnect() {
+	g.fleet.network.Unfreeze(g.member.Name, g.fleet.names()...)
+	g.fleet.store.cut(g.member.Name, false)
+}
+
 func (g *fleetGateway) readsStore() bool {
 	for _, local := range g.copies {
 		if unavailableSince, _ := local.Availability(); !unavailableSince.IsZero() || local.Revision() == 0 {
--- a/internal/peering/reader.go
+++ b/internal/peering/reader.go
@@ -7,9 +7,13 @@
 )
 
 const (
-	// readersPerRegion is the number of gateways that read the object store in each
-	// region: the others receive changes without delay while one of them fails.
+	// readersPerRegion is the number of gateways that at least read the object store in
+	// each region: the others receive changes without delay while one of them fails.
 	readersPerRegion = 2
+	// readerTimeout is the time without a digest after which a gateway no longer counts as
+	// a reader. A change may be waiting, so it is shorter than aliveTimeout; it allows for
+	// one lost exchange of digests.
+	readerTimeout = 800 * time.Millisecond
 	// readerKey is the key of the rendezvous order of readers.
 	readerKey = "reader"
 	// takeoverDelay is the delay, per rank, before another gateway reads the object store
@@ -23,15 +27,16 @@
 	settleTime = time.Second
 )
 
-// readerState is the time since which no gateway of the region before this one has been a
+// readerState is the time since which no gateway of the group before this one has been a
 // reader.
 type readerState struct {
 	missingSince time.Time
 }
 
-// IsReader reports whether this gateway reads the object store for its region. The first
-// readersPerRegion gateways in the rendezvous order do; the others do so, one after the
-// other, if no gateway before them reads it.
+// IsReader reports whether this gateway reads the object store for its group, the gateways of
+// its cell and region. The first gateways of the group in the rendezvous order do; the others
+// do so, one after the other, if no gateway before them reads it. A group lies within a cell,
+// because digests show within readerTimeout that a reader has failed, and reports do not.
 func (t *Table) IsReader() bool {
 	now := time.Now()
 	t.mu.Lock()
@@ -39,34 +44,42 @@
 	if len(t.peers) == 0 {
 		return now.Sub(t.Start) > discoveryTime
 	}
+	required := t.requiredReaders()
 	before, readers := t.readersBefore(now)
-	if before < readersPerRegion {
+	if before < required {
 		return true
 	}
 	if readers > 0 || t.reader.missingSince.IsZero() {
 		t.reader.missingSince = now
 	}
-	return now.Sub(t.reader.missingSince) > time.Duration(before-readersPerRegion+1)*takeoverDelay
+	return now.Sub(t.reader.missingSince) > time.Duration(before-required+1)*takeoverDelay
 }
 
-// readersBefore returns the number of live gateways of the region that rank before this
-// one as readers, and the number of them that read the object store.
+// requiredReaders returns the number of readers of each group of the region: one, or more if
+// the region has fewer cells than readersPerRegion. The caller must hold mu.
+func (t *Table) requiredReaders() int {
+	cells := t.currentCells().countIn(t.Self.Region)
+	return (readersPerRegion + cells - 1) / cells
+}
+
+// readersBefore returns the number of live gateways of the group that rank before this one
+// as readers, and the number of them that read the object store. The caller must hold mu.
 func (t *Table) readersBefore(now time.Time) (before, readers int) {
 	score := membership.Score(readerKey, t.Self.Name)
 	cells := t.currentCells()
 	ownCell := cells.Of(t.Self.Name)
 	for name, entry := range t.peers {
 		digest := &entry.peer.Digest
-		if entry.member.Region != t.Self.Region || digest.Stopping || membership.Score(readerKey, name) < score {
+		if entry.member.Region != t.Self.Region || cells.Of(name) != ownCell || digest.Stopping || membership.Score(readerKey, name) < score {
 			continue
 		}
-		switch {
-		case entry.alive(cells.Of(name) == ownCell, now):
+		switch heard := !entry.peer.ReceivedAt.IsZero(); {
+		case heard && now.Sub(entry.peer.ReceivedAt) <= readerTimeout:
 			before++
 			if digest.ReadsStore {
 				readers++
 			}
-		case entry.peer.ReceivedAt.IsZero() && now.Sub(t.Start) < settleTime:
+		case !heard && now.Sub(t.Start) < settleTime:
 			before++
 		}
 	}
--- a/internal/peering/spreadfault_test.go
+++ b/internal/peering/spreadfault_test.go
@@ -31,6 +31,51 @@
 	return slices.DeleteFunc(f.readers(), func(g *fleetGateway) bool { return g.member.Region != region })
 }
 
+// A configuration must reach every sound gateway within the bound although all readers of a
+// region lose their network, or end, immediately before it is written: the others must not
+// wait for gateways that are silent.
+func TestConfigurationSpreadsWithoutReaders(t *testing.T) {
+	forEachFleet(t, func(t *testing.T, f *runningFleet) {
+		f.startAll()
+		var cut, ended worst
+		for _, region := range []string{"region-0", "region-1"} {
+			readers := f.readersOf(region)
+			if len(readers) == len(f.inRegion(region)) {
+				// Every other gateway reads the store itself.
+				readers = readers[:1]
+			}
+			time.Sleep(130 * time.Millisecond)
+			for _, reader := range readers {
+				reader.cutOff()
+			}
+			revision := f.store.write(configurationKind, "main")
+			cut.add(f.measure(func(g *fleetGateway) bool { return g.hasObject(configurationKind, "main", revision) }, readers...))
+			for _, reader := range readers {
+				reader.reconnect()
+			}
+			time.Sleep(3 * time.Second)
+			f.endWatches()
+			readers = f.readersOf(region)
+			if len(readers) == len(f.inRegion(region)) {
+				readers = readers[:1]
+			}
+			for _, reader := range readers {
+				reader.stop()
+			}
+			revision = f.store.write(configurationKind, "main")
+			ended.add(f.measure(func(g *fleetGateway) bool { return g.hasObject(configurationKind, "main", revision) }))
+			for _, reader := range readers {
+				reader.member.Incarnation++
+				reader.start()
+			}
+			time.Sleep(2 * time.Second)
+			f.endWatches()
+		}
+		cut.require(t, "configuration, readers of a region silent", configurationBound)
+		ended.require(t, "configuration, readers of a region ended", configurationBound)
+	})
+}
+
 // If the readers of a region are cut off from the object store alone, others must take over
 // within the bound for an unstable store, and the copies must be complete after the cut.
 func TestConfigurationSpreadsWhileReadersAreCutOff(t *testing.T) {
