peering: fetch a copy from another gateway if one is silent

What callers would see: a gateway that asks a silent one for a change uses the configuration seconds too late.

Cause: the call waited 2 s, all kinds of objects with it, and the next attempt chose the source at random again.

Change: a call for a delta waits 0.5 s; whoever did not respond is not asked for 2 s while another gateway has the same copy.

--- a/internal/peering/copysync.go
+++ b/internal/peering/copysync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/mimosaward/mimosaward/internal/concurrency"
@@ -48,18 +49,52 @@
 		start = time.Now()
 		p.behindSince[local.Kind] = start
 	}
-	source := newest[rand.IntN(len(newest))].Digest.Member
+	source := p.chooseSource(newest)
 	return source, local.Passive() || time.Since(start) >= copyFetchDelay
 }
 
+// chooseSource returns a random gateway, if possible one that has not failed to send a copy
+// recently.
+func (p *Peering) chooseSource(peers []Peer) Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	responding := slices.DeleteFunc(slices.Clone(peers), func(peer Peer) bool { return now.Before(p.silentUntil[peer.Digest.Member.Name]) })
+	if len(responding) == 0 {
+		responding = peers
+	}
+	return responding[rand.IntN(len(responding))].Digest.Member
+}
+
+func (p *Peering) excludeSource(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.silentUntil == nil {
+		p.silentUntil = map[string]time.Time{}
+	}
+	p.silentUntil[name] = time.Now().Add(sourceExclusion)
+}
+
+// requestCopy requests the objects of a kind that changed after a revision.
+func (p *Peering) requestCopy(ctx context.Context, source Member, args CopyArgs) (CopyReply, error) {
+	timeout := deltaTimeout
+	if args.Since == 0 {
+		timeout = copyTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var reply CopyReply
+	err := p.BulkControl.Call(ctx, source.Control, copyMethod, &args, &reply)
+	return reply, err
+}
+
 // fetchCopy brings the local copy up to date with that of another gateway.
 func (p *Peering) fetchCopy(ctx context.Context, local *informer.Informer, source Member) {
-	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
-	defer cancel()
 	fields := event.Fields{"kind": local.Kind, "gateway": source.Name, "ownRevision": local.Revision()}
 	for _, since := range []int64{local.Revision(), 0} {
-		var reply CopyReply
-		if err := p.BulkControl.Call(ctx, source.Control, copyMethod, &CopyArgs{Kind: local.Kind, Since: since}, &reply); err != nil {
+		reply, err := p.requestCopy(ctx, source, CopyArgs{Kind: local.Kind, Since: since})
+		if err != nil {
+			p.excludeSource(source.Name)
 			fields["error"] = err.Error()
 			p.Log.Emit(event.SnapshotFailed, fields)
 			return
--- a/internal/peering/fleet_test.go
+++ b/internal/peering/fleet_test.go
@@ -269,14 +269,14 @@
 	return digest
 }
 
-// peer returns the state of another gateway, and false if it is not alive.
-func (g *fleetGateway) peer(other *fleetGateway) (peering.Peer, bool) {
+// peer returns the state of another gateway, empty if it is not alive.
+func (g *fleetGateway) peer(other *fleetGateway) peering.Peer {
 	for _, peer := range g.table.Alive() {
 		if peer.Digest.Member.Name == other.member.Name {
-			return peer, true
+			return peer
 		}
 	}
-	return peering.Peer{}, false
+	return peering.Peer{}
 }
 
 // lists reports whether the gateway would name another one in its directory.
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -40,8 +40,13 @@
 	// copyFetchDelay is how long the local copy must be older than a peer's before the
 	// peer's copy is fetched: the local watch usually catches up sooner.
 	copyFetchDelay = 250 * time.Millisecond
-	// copyTimeout bounds the transfer of a copy.
-	copyTimeout = 2 * time.Second
+	// copyTimeout bounds the transfer of a whole copy, deltaTimeout that of a delta: if the
+	// source is silent, enough time must remain for another one.
+	copyTimeout  = 2 * time.Second
+	deltaTimeout = 500 * time.Millisecond
+	// sourceExclusion is how long a gateway that sent no copy is not asked again while
+	// another one has the same copy.
+	sourceExclusion = 2 * time.Second
 
 	serviceName    = "Gateway"
 	exchangeMethod = serviceName + ".Exchange"
@@ -78,6 +83,9 @@
 	// behindSince holds, by kind, the time since which the local copy has been older
 	// than that of a peer. Only SyncCopies uses it.
 	behindSince map[string]time.Time
+	// silentUntil holds, by name, the time until which a gateway that sent no copy is not
+	// asked for one. mu protects it.
+	silentUntil map[string]time.Time
 }
 
 // Register registers the service for calls from other gateways on a server.
--- a/internal/peering/spread_test.go
+++ b/internal/peering/spread_test.go
@@ -75,7 +75,7 @@
 			slots, changedAt := changed.slots.Add(1), time.Now()
 			ready.add(f.measure(func(g *fleetGateway) bool { return g.lists(changed) }, changed))
 			f.measure(func(g *fleetGateway) bool {
-				peer, _ := g.peer(changed)
+				peer := g.peer(changed)
 				return len(peer.Digest.Capacities) > 0 && int64(peer.Digest.Capacities[0].Free) == slots
 			}, changed)
 			capacity.add(time.Since(changedAt))
