informer: ignore what a late watch response reports before the copy

What callers would see: requests sent to an endpoint that is long gone. TestLateWatchResponseDoesNotRestoreDeletedObject failed before: "after the response at revision 7, the deleted object exists".

Cause: a gateway whose watch is slow adopts a newer copy from another one. The response, when it arrives, still reports the creation of an object that was deleted before that copy was made. It was added again, and since the next watch continues after the copy, its deletion was never reported: the object stayed until the next list.

Change: a batch that is older than the copy is ignored, and so is a change of an object that the copy no longer has.

--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -197,9 +197,14 @@
 	return nil
 }
 
-// apply merges a batch into the copy and reports whether the copy changed.
+// apply merges a batch into the copy and reports whether the copy changed. The batch may
+// begin before the revision of the copy if a snapshot was adopted during the watch.
 func (i *Informer) apply(batch Batch) bool {
 	i.mu.Lock()
+	if batch.Revision < i.revision {
+		i.mu.Unlock()
+		return false
+	}
 	objects := maps.Clone(i.objects)
 	changed := false
 	for _, change := range batch.Changes {
@@ -207,6 +212,9 @@
 		switch {
 		case exists && existing.Revision > change.Object.Revision:
 			continue
+		case !exists && !change.Deleted && change.Object.Revision <= i.revision:
+			// The object was deleted before the copy was made.
+			continue
 		case change.Deleted && exists:
 			delete(objects, change.Object.Name)
 		case change.Deleted:
--- a/internal/informer/informer_test.go
+++ b/internal/informer/informer_test.go
@@ -157,3 +157,45 @@
 		}
 	})
 }
+
+// The response to a watch may arrive after a newer copy of a peer was adopted. What has been
+// deleted since then must not return: no later watch would report the deletion again.
+func TestLateWatchResponseDoesNotRestoreDeletedObject(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		responses := make(chan informer.Batch)
+		inf := &informer.Informer{
+			Kind: "endpoints", OnChange: func(informer.Snapshot) {},
+			List: func(context.Context, string, string) (informer.Page, error) { return informer.Page{Revision: 5}, nil },
+			Watch: func(ctx context.Context, _ string, _ int64) (informer.Batch, error) {
+				select {
+				case batch := <-responses:
+					return batch, nil
+				case <-ctx.Done():
+					return informer.Batch{}, ctx.Err()
+				}
+			},
+		}
+		group := concurrency.NewGroup(t.Context())
+		group.Go(inf.Run)
+		synctest.Wait()
+		// An object was created at 7 and deleted at 8.
+		inf.AdoptSnapshot(informer.Snapshot{Revision: 9, Objects: map[string]informer.Object{}})
+		created := informer.Change{Object: informer.Object{Name: "ended", Revision: 7}}
+		for _, batch := range []informer.Batch{
+			{Revision: 7, Changes: []informer.Change{created}},
+			{Revision: 10, Changes: []informer.Change{created, {Object: informer.Object{Name: "new", Revision: 10}}}},
+		} {
+			responses <- batch
+			synctest.Wait()
+			snapshot, _ := inf.Snapshot()
+			if _, exists := snapshot.Objects["ended"]; exists {
+				t.Errorf("after the response at revision %d, the deleted object exists", batch.Revision)
+			}
+		}
+		if snapshot, _ := inf.Snapshot(); snapshot.Revision != 10 || len(snapshot.Objects) != 1 {
+			t.Errorf("copy at revision %d with %d objects, want revision 10 with 1", snapshot.Revision, len(snapshot.Objects))
+		}
+		group.Stop()
+		group.Wait()
+	})
+}
