peering: a report proves life only with a newer digest

What callers would see: after a gateway was suspended, directories of its cell name gateways that ended meanwhile. TestReportOfSuspendedGatewayRevivesNobody failed before: "a gateway that ended counts as alive after the report of a suspended gateway".

Cause: a report is as old as its age says, and each process that passes it on adds the time on its own steady clock, which does not count a suspension. A delegate that resumes passes on a report from before as if it were a moment old. For the same reason, a cell listed a gateway for up to 1.5 s after its last digest, each time as current.

Change: a digest carries the uptime of its sender, and a summary in a report the uptime of the digest on which it is based. A gateway of another cell counts as alive from a report only if that has a newer digest than the last one.

--- a/internal/peering/digest.go
+++ b/internal/peering/digest.go
@@ -22,6 +22,9 @@
 // Digest is the load report that gateways exchange periodically.
 type Digest struct {
 	Member Member
+	// Uptime is the time since the start of the gateway by its own clock. It orders the
+	// digests of an incarnation.
+	Uptime time.Duration
 	// Ready is true while the gateway accepts requests, Stopping once it has been
 	// asked to stop.
 	Ready    bool
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -63,7 +63,7 @@
 	// BulkControl transfers copies, so that digests are not delayed behind them.
 	BulkControl *controlrpc.Client
 	Log         *event.Logger
-	// Digest returns the digest to send. Peering sets its Member, Revisions, Reports,
+	// Digest returns the digest to send. Peering sets its Member, Uptime, Revisions, Reports,
 	// Others and AskOthers.
 	Digest func() Digest
 	// Informers hold the copies of objects that gateways fetch from each other.
@@ -251,7 +251,7 @@
 // localDigest returns the digest without the parts that describe other gateways.
 func (p *Peering) localDigest() Digest {
 	digest := p.Digest()
-	digest.Member = p.Self
+	digest.Member, digest.Uptime = p.Self, time.Since(p.Table.Start)
 	p.idle.Store(digest.idle())
 	digest.Revisions = map[string]int64{}
 	for _, local := range p.Informers {
--- a/internal/peering/report.go
+++ b/internal/peering/report.go
@@ -14,6 +14,7 @@
 type Summary struct {
 	Name        string
 	Incarnation int64
+	Uptime      time.Duration
 	Ready       bool
 	Stopping    bool
 	Capacities  []Capacity
@@ -38,5 +39,5 @@
 
 // summary returns the part of the digest for other cells.
 func (d *Digest) summary() Summary {
-	return Summary{Name: d.Member.Name, Incarnation: d.Member.Incarnation, Ready: d.Ready, Stopping: d.Stopping, Capacities: d.Capacities, ReadsStore: d.ReadsStore, Revisions: d.Revisions}
+	return Summary{Name: d.Member.Name, Incarnation: d.Member.Incarnation, Uptime: d.Uptime, Ready: d.Ready, Stopping: d.Stopping, Capacities: d.Capacities, ReadsStore: d.ReadsStore, Revisions: d.Revisions}
 }
--- a/internal/peering/spreadfault_test.go
+++ b/internal/peering/spreadfault_test.go
@@ -210,3 +210,35 @@
 		}))
 	}
 }
+
+// A process that was suspended passes on what it knew before with an age that is too low,
+// because its clock does not count the suspension. Gateways that ended meanwhile must not
+// count as alive again.
+func TestReportOfSuspendedGatewayRevivesNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, []int{8, 8, 8}, false)
+		for index, g := range f.gateways {
+			g.table = &peering.Table{Self: g.member, Start: time.Now()}
+			for _, other := range f.gateways[:index] {
+				other.table.AddMember(g.member)
+				g.table.AddMember(other.member)
+			}
+		}
+		receiver, ended := f.gateways[0], f.gateways[len(f.gateways)-1]
+		cells := receiver.table.Cells()
+		stale := peering.Report{Cell: cells.Of(ended.member.Name), Age: 100 * time.Millisecond, Summaries: []peering.Summary{{
+			Name: ended.member.Name, Incarnation: 1, Ready: true,
+		}}}
+		suspended := peering.Digest{Member: cells.Members(cells.Of(receiver.member.Name))[1], Reports: []peering.Report{stale}}
+		receiver.table.RecordDigest(suspended)
+		if !receiver.lists(ended) {
+			t.Fatal("a gateway that a report lists does not count as alive")
+		}
+		time.Sleep(endedBound)
+		receiver.table.RecordDigest(suspended)
+		if receiver.lists(ended) {
+			t.Error("a gateway that ended counts as alive after the report of a suspended gateway")
+		}
+		f.store.close()
+	})
+}
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -121,9 +121,14 @@
 		if entry == nil || summary.Incarnation < entry.member.Incarnation || cells.Of(summary.Name) != report.Cell {
 			continue
 		}
+		if known := &entry.peer.Digest; known.Member.Incarnation == summary.Incarnation && summary.Uptime <= known.Uptime {
+			// Nothing new is known of the gateway. The age of a report does not tell: it is
+			// too low if a process that passed the report on was suspended.
+			continue
+		}
 		entry.member.Incarnation = summary.Incarnation
 		entry.peer = Peer{ReceivedAt: currentAt, Digest: Digest{
-			Member: entry.member, Ready: summary.Ready, Stopping: summary.Stopping, Capacities: summary.Capacities,
+			Member: entry.member, Uptime: summary.Uptime, Ready: summary.Ready, Stopping: summary.Stopping, Capacities: summary.Capacities,
 			ReadsStore: summary.ReadsStore, Revisions: summary.Revisions,
 		}}
 	}
