peering: take the address of a restarted gateway from its record

What callers would see: calls to a gateway that started again at another address fail until it is forgotten.

Cause: a report, which has no addresses, raised the incarnation of the known record. The record with the new address then counted as old and was ignored, and the old address spread with the new incarnation in the lists of other gateways.

Change: a report leaves the record as it is; a newer record replaces it and keeps the reported state, so that the gateway counts as alive all the while. Digests list records.

--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -241,9 +241,7 @@
 		digest.Reports = p.Table.directReports()
 	}
 	if withOthers {
-		for _, peer := range p.Table.Alive() {
-			digest.Others = append(digest.Others, peer.Digest.Member)
-		}
+		digest.Others = p.Table.aliveMembers()
 	}
 	return digest
 }
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -39,6 +39,8 @@
 
 // tableEntry is the state of one other gateway.
 type tableEntry struct {
+	// member is the newest record of the gateway. Its incarnation is older than that of
+	// peer if only reports have shown the gateway since it started again.
 	member Member
 	// incarnationSeenAt is when the newest incarnation was added.
 	incarnationSeenAt time.Time
@@ -78,7 +80,14 @@
 	if existing != nil && existing.member.Incarnation >= member.Incarnation {
 		return
 	}
-	t.peers[member.Name] = &tableEntry{member: member, incarnationSeenAt: time.Now()}
+	added := &tableEntry{member: member, incarnationSeenAt: time.Now()}
+	if existing != nil && existing.peer.Digest.Member.Incarnation >= member.Incarnation {
+		// A report was faster than the member's record.
+		added.peer = existing.peer
+		member.Incarnation = existing.peer.Digest.Member.Incarnation
+		added.peer.Digest.Member = member
+	}
+	t.peers[member.Name] = added
 	t.cells = nil
 }
 
@@ -121,14 +130,18 @@
 		if entry == nil || summary.Incarnation < entry.member.Incarnation || cells.Of(summary.Name) != report.Cell {
 			continue
 		}
-		if known := &entry.peer.Digest; known.Member.Incarnation == summary.Incarnation && summary.Uptime <= known.Uptime {
+		known := &entry.peer.Digest
+		if summary.Incarnation < known.Member.Incarnation || (summary.Incarnation == known.Member.Incarnation && summary.Uptime <= known.Uptime) {
 			// Nothing new is known of the gateway. The age of a report does not tell: it is
 			// too low if a process that passed the report on was suspended.
 			continue
 		}
-		entry.member.Incarnation = summary.Incarnation
+		// The entry keeps the incarnation of the record, which is replaced by a newer one: the
+		// address may have changed, and summaries have none.
+		member := entry.member
+		member.Incarnation = summary.Incarnation
 		entry.peer = Peer{ReceivedAt: currentAt, Digest: Digest{
-			Member: entry.member, Uptime: summary.Uptime, Ready: summary.Ready, Stopping: summary.Stopping, Capacities: summary.Capacities,
+			Member: member, Uptime: summary.Uptime, Ready: summary.Ready, Stopping: summary.Stopping, Capacities: summary.Capacities,
 			ReadsStore: summary.ReadsStore, Revisions: summary.Revisions,
 		}}
 	}
@@ -272,6 +285,22 @@
 	return t.alive(func(cell string) bool { return cell != t.cells.Of(t.Self.Name) })
 }
 
+// aliveMembers returns the records of the gateways that are alive.
+func (t *Table) aliveMembers() []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	cells := t.currentCells()
+	ownCell := cells.Of(t.Self.Name)
+	var members []Member
+	for name, entry := range t.peers {
+		if entry.alive(cells.Of(name) == ownCell, now) {
+			members = append(members, entry.member)
+		}
+	}
+	return members
+}
+
 // alive returns the gateways that are alive in the cells that match.
 func (t *Table) alive(match func(cell string) bool) []Peer {
 	t.mu.Lock()
