peering: keep contacting seeds that are not known to be alive

What callers would see: after a cut of more than a minute between two regions, each side names only its own gateways for good. TestRegionsReconnectAfterCut failed with a cut of 80 s, with 4 gateways and with 24: "readiness after a cut between regions takes up to 12s", when the test gave up (bound 3 s).

Cause: a gateway that is silent for a minute is forgotten and no longer called. The seeds were contacted only until another gateway was known, and the registered gateways in the object store are read again only when they change.

Change: a seed address at which no live gateway is known is contacted once a second.

--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -31,6 +31,9 @@
 	// digestsPerMemberList is the number of digests per digest that lists the other
 	// gateways: these rarely change and make up most of the bytes of a digest.
 	digestsPerMemberList = 10
+	// seedInterval is the interval at which a seed that is not known to be alive is
+	// contacted.
+	seedInterval = time.Second
 	// exchangeTimeout bounds an exchange of digests; the longest network path has a
 	// latency of a few milliseconds.
 	exchangeTimeout = 400 * time.Millisecond
@@ -158,11 +161,20 @@
 }
 
 // contactSeed exchanges digests with a seed address until another gateway is known, and
-// for at least settleTime, because gateways often start at the same time.
+// for at least settleTime, because gateways often start at the same time. Later it does so
+// while the gateway at the address is not known to be alive: after a long cut, both sides
+// have forgotten each other.
 func (p *Peering) contactSeed(ctx context.Context, address string) {
-	for (len(p.Table.Members()) == 0 || time.Since(p.Table.Start) < settleTime) && ctx.Err() == nil {
-		p.exchange(ctx, address, true, false)
-		concurrency.Sleep(ctx, 2*exchangeInterval)
+	for ctx.Err() == nil {
+		starting := len(p.Table.Members()) == 0 || time.Since(p.Table.Start) < settleTime
+		if starting || !p.Table.aliveAt(address) {
+			p.exchange(ctx, address, true, false)
+		}
+		if starting {
+			concurrency.Sleep(ctx, 2*exchangeInterval)
+		} else {
+			concurrency.Tick(ctx, seedInterval)
+		}
 	}
 }
 
--- a/internal/peering/spreadfault_test.go
+++ b/internal/peering/spreadfault_test.go
@@ -172,7 +172,7 @@
 	cases := []struct {
 		regions []int
 		cut     time.Duration
-	}{{smallFleet, 5 * time.Second}, {largeFleet, 5 * time.Second}}
+	}{{smallFleet, 5 * time.Second}, {smallFleet, 80 * time.Second}, {[]int{8, 8, 8}, 80 * time.Second}, {largeFleet, 5 * time.Second}}
 	for _, c := range cases {
 		t.Run(fmt.Sprintf("%v gateways for %v", c.regions, c.cut), testInBubble(func(t *testing.T) {
 			f := newFleet(t, c.regions, false)
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -301,6 +301,11 @@
 	return members
 }
 
+// aliveAt reports whether a gateway with the control address is alive.
+func (t *Table) aliveAt(address string) bool {
+	return slices.ContainsFunc(t.aliveMembers(), func(member Member) bool { return member.Control == address })
+}
+
 // alive returns the gateways that are alive in the cells that match.
 func (t *Table) alive(match func(cell string) bool) []Peer {
 	t.mu.Lock()
