--- a/internal/peering/report_test.go
+++ b/internal/peering/report_test.go
@@ -46,6 +46,15 @@
 		}
 		time.Sleep(8 * time.Second)
 		requireAlive("after a restart")
+		readers := 0
+		for _, n := range nodes {
+			if n.table.IsReader() {
+				readers++
+			}
+		}
+		if cells := len(nodes[0].table.Cells().Names()); readers < cells {
+			t.Errorf("%d gateways read the object store, want at least one in each of %d cells", readers, cells)
+		}
 		for index, n := range nodes {
 			n.stop(network, index)
 		}
