--- a/internal/informer/informer_test.go
+++ b/internal/informer/informer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -199,3 +200,45 @@
 		group.Wait()
 	})
 }
+
+// An informer that stops reading and starts again must continue after its copy, including
+// what it adopted from peers meanwhile, and must not miss a change.
+func TestReadsStopAndStartAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		var passive atomic.Bool
+		inf := &informer.Informer{
+			Kind: "configuration", CoalesceDelay: 100 * time.Millisecond, List: s.list, Watch: s.watch, OnChange: func(informer.Snapshot) {},
+			Reads: func() bool { return !passive.Load() },
+		}
+		group := concurrency.NewGroup(t.Context())
+		group.Go(inf.Run)
+		time.Sleep(time.Second)
+		passive.Store(true)
+		s.write()
+		time.Sleep(time.Second)
+		// The watch that was open reports the change; later ones are not read.
+		requireRevision(t, inf, 2)
+		s.write()
+		time.Sleep(time.Second)
+		requireRevision(t, inf, 2)
+		inf.AdoptSnapshot(informer.Snapshot{Revision: 3, Objects: map[string]informer.Object{"main": {Name: "main", Revision: 3}}})
+		s.write()
+		passive.Store(false)
+		time.Sleep(200 * time.Millisecond)
+		requireRevision(t, inf, 4)
+		// A watch fails after the informer has become passive: the next read must recover.
+		passive.Store(true)
+		s.breakWatches()
+		s.write()
+		time.Sleep(2 * time.Second)
+		passive.Store(false)
+		time.Sleep(200 * time.Millisecond)
+		requireRevision(t, inf, 5)
+		if unavailableSince, _ := inf.Availability(); !unavailableSince.IsZero() {
+			t.Error("the object store counts as unavailable after a successful read")
+		}
+		group.Stop()
+		group.Wait()
+	})
+}
