peering: failing test of watches that fall silent

What callers would see: if the open connections to the object store fall silent, requests are handled with an older configuration up to 0.6 s after the gateways take part again.

Cause: keep-alive probes show a dead connection after 3 s (idle 1 s, two probes), which is the whole bound; then come the backoff, the list, and the way to the other gateways. The timeout in the test is that of the socket options; no run with real sockets was made.

Not fixed here: with probes that give up after 2 s, links that lose packets would break sound watches, each of which costs a list. That needs a run with such links.

--- a/internal/peering/fleet_test.go
+++ b/internal/peering/fleet_test.go
@@ -344,7 +344,8 @@
 	changed  chan struct{}
 	cutOff   map[string]bool
 	done     chan struct{}
-	reads    int
+	// silent is closed when the open watches fall silent.
+	silent chan struct{}
 }
 
 type storedChange struct {
@@ -352,8 +353,8 @@
 	change informer.Change
 }
 
-// keepAliveTimeout is the time after which a process detects that a connection is dead, and
-// connectTimeout that of a new connection.
+// keepAliveTimeout is the time after which a process detects that a connection is dead, with
+// the socket options that gateways set, and connectTimeout that of a new connection.
 const (
 	keepAliveTimeout = 3 * time.Second
 	connectTimeout   = 300 * time.Millisecond
@@ -362,7 +363,7 @@
 var errCutOff = errors.New("the object store does not respond")
 
 func newSharedStore() *sharedStore {
-	return &sharedStore{objects: map[string]map[string]informer.Object{}, changed: make(chan struct{}), cutOff: map[string]bool{}, done: make(chan struct{})}
+	return &sharedStore{objects: map[string]map[string]informer.Object{}, changed: make(chan struct{}), cutOff: map[string]bool{}, done: make(chan struct{}), silent: make(chan struct{})}
 }
 
 func (s *sharedStore) close() { close(s.done) }
@@ -409,9 +410,16 @@
 	s.changed = make(chan struct{})
 }
 
+// silenceWatches makes the connections of all open watches fall silent; new ones work.
+func (s *sharedStore) silenceWatches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.silent)
+	s.silent = make(chan struct{})
+}
+
 func (s *sharedStore) list(ctx context.Context, process, kind string) (informer.Page, error) {
 	s.mu.Lock()
-	s.reads++
 	cutOff := s.cutOff[process]
 	objects := slices.SortedFunc(maps.Values(s.objects[kind]), func(a, b informer.Object) int { return cmp.Compare(a.Name, b.Name) })
 	page := informer.Page{Objects: objects, Revision: s.revision}
@@ -425,7 +433,7 @@
 
 func (s *sharedStore) watch(ctx context.Context, process, kind string, after int64) (informer.Batch, error) {
 	s.mu.Lock()
-	s.reads++
+	silent := s.silent
 	s.mu.Unlock()
 	for {
 		batch, changed, cutOff := s.changesAfter(process, kind, after)
@@ -437,6 +445,9 @@
 			return batch, nil
 		}
 		select {
+		case <-silent:
+			concurrency.Sleep(ctx, keepAliveTimeout)
+			return informer.Batch{}, errCutOff
 		case <-changed:
 		case <-s.done:
 			return informer.Batch{}, errCutOff
--- a/internal/peering/spreadfault_test.go
+++ b/internal/peering/spreadfault_test.go
@@ -105,6 +105,23 @@
 	})
 }
 
+// If open connections to the object store fall silent, which only a keep-alive probe shows,
+// gateways take part again contactTime later. By then they must use what was confirmed in the
+// meantime.
+func TestConfigurationSpreadsAfterWatchesFallSilent(t *testing.T) {
+	forEachFleet(t, func(t *testing.T, f *runningFleet) {
+		f.startAll()
+		f.store.silenceWatches()
+		silentAt := time.Now()
+		time.Sleep(500 * time.Millisecond)
+		revision := f.store.write(configurationKind, "main")
+		f.measure(func(g *fleetGateway) bool { return g.hasObject(configurationKind, "main", revision) })
+		var spread worst
+		spread.add(time.Since(silentAt))
+		spread.require(t, "configuration after watches fell silent", contactTime)
+	})
+}
+
 // delegates returns the gateways of a cell that report to another one, which the rendezvous
 // order of all its live gateways determines.
 func (f *runningFleet) delegates(cells *peering.Cells, from, to string) []*fleetGateway {
