--- /dev/null
+++ b/internal/peering/fleetgateway_test.go
@@ -0,0 +1,196 @@
+package peering_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/mimosaward/mimosaward/internal/concurrency"
+	"github.com/mimosaward/mimosaward/internal/controlrpc"
+	"github.com/mimosaward/mimosaward/internal/event"
+	"github.com/mimosaward/mimosaward/internal/informer"
+	"github.com/mimosaward/mimosaward/internal/peering"
+)
+
+// fleetGateway is a gateway of a fleet.
+type fleetGateway struct {
+	fleet     *runningFleet
+	member    peering.Member
+	table     *peering.Table
+	group     *concurrency.Group
+	informers []*informer.Informer
+	copies    map[string]*informer.Informer
+	startedAt time.Time
+	notReady  atomic.Bool
+	stopping  atomic.Bool
+	slots     atomic.Int64
+	// running is false after the gateway was stopped.
+	running bool
+	// silent is true while calls for copies to this gateway receive no response.
+	silent atomic.Bool
+}
+
+// silentConn is a connection that loses what is written while silent is true.
+type silentConn struct {
+	net.Conn
+	silent *atomic.Bool
+}
+
+// Write implements net.Conn.
+func (c *silentConn) Write(data []byte) (int, error) {
+	if c.silent.Load() {
+		return len(data), nil
+	}
+	return c.Conn.Write(data)
+}
+
+// start starts the gateway as gateway.Gateway does.
+func (g *fleetGateway) start() {
+	f := g.fleet
+	f.t.Helper()
+	host := f.network.ForProcess(g.member.Name)
+	dial := func(_ context.Context, address string) (net.Conn, error) { return host.Dial(address) }
+	dialBulk := func(_ context.Context, address string) (net.Conn, error) {
+		conn, err := host.Dial(address)
+		if err != nil {
+			return nil, err
+		}
+		index := slices.IndexFunc(f.gateways, func(other *fleetGateway) bool { return other.member.Control == address })
+		return &silentConn{Conn: conn, silent: &f.gateways[index].silent}, nil
+	}
+	g.startedAt, g.running = time.Now(), true
+	g.table, g.group = &peering.Table{Self: g.member, Start: g.startedAt}, concurrency.NewGroup(context.Background())
+	g.copies, g.informers = map[string]*informer.Informer{}, nil
+	g.stopping.Store(false)
+	for kind, delay := range map[string]time.Duration{configurationKind: 100 * time.Millisecond, endpointKind: 400 * time.Millisecond, memberKind: time.Second} {
+		local := &informer.Informer{
+			Kind: kind, CoalesceDelay: delay, Reads: g.table.IsReader, OnChange: func(informer.Snapshot) {},
+			List: func(ctx context.Context, kind, _ string) (informer.Page, error) {
+				return f.store.list(ctx, g.member.Name, kind)
+			},
+			Watch: func(ctx context.Context, kind string, after int64) (informer.Batch, error) {
+				return f.store.watch(ctx, g.member.Name, kind, after)
+			},
+		}
+		if kind == memberKind {
+			local.OnChange = func(snapshot informer.Snapshot) { g.applyMembers(snapshot) }
+		}
+		g.copies[kind] = local
+		g.group.Go(local.Run)
+		g.informers = append(g.informers, local)
+	}
+	peers := &peering.Peering{
+		Self: g.member, Table: g.table, Control: &controlrpc.Client{Dial: dial}, BulkControl: &controlrpc.Client{Dial: dialBulk}, Log: event.Discard(),
+		Digest: g.digest, Informers: g.informers, Seeds: f.seeds(), OnDigest: func(peering.Digest) {},
+	}
+	server := controlrpc.NewServer()
+	if err := peers.Register(server); err != nil {
+		f.t.Fatal(err)
+	}
+	listener, err := host.Listen(g.member.Control)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	g.group.Go(func(ctx context.Context) { server.Run(ctx, listener) })
+	g.group.Go(peers.Run)
+	g.group.Go(peers.SyncCopies)
+	f.store.put(memberKind, g.member.Name, g.record())
+}
+
+// record returns the value that the gateway registers in the store.
+func (g *fleetGateway) record() json.RawMessage {
+	value, err := json.Marshal(g.member)
+	if err != nil {
+		g.fleet.t.Error(err)
+	}
+	return value
+}
+
+func (g *fleetGateway) applyMembers(snapshot informer.Snapshot) {
+	for _, object := range snapshot.Objects {
+		var member peering.Member
+		if err := json.Unmarshal(object.Value, &member); err != nil {
+			g.fleet.t.Error(err)
+		}
+		g.table.AddMember(member)
+	}
+}
+
+// stop ends the gateway as a kill does: its connections are closed.
+func (g *fleetGateway) stop() {
+	g.running = false
+	g.group.Stop()
+	g.fleet.network.CloseConnections(g.member.Name)
+	g.group.Wait()
+}
+
+// cutOff stops all traffic of the gateway without closing its connections.
+func (g *fleetGateway) cutOff() {
+	g.fleet.network.Freeze(g.member.Name, g.fleet.names()...)
+	g.fleet.store.cut(g.member.Name, true)
+}
+
+// reconnect reverses cutOff.
+func (g *fleetGateway) reconnect() {
+	g.fleet.network.Unfreeze(g.member.Name, g.fleet.names()...)
+	g.fleet.store.cut(g.member.Name, false)
+}
+
+func (g *fleetGateway) readsStore() bool {
+	for _, local := range g.copies {
+		if unavailableSince, _ := local.Availability(); !unavailableSince.IsZero() || local.Revision() == 0 {
+			return false
+		}
+	}
+	return g.table.IsReader()
+}
+
+func (g *fleetGateway) digest() peering.Digest {
+	digest := peering.Digest{Ready: !g.notReady.Load() && !g.stopping.Load(), Stopping: g.stopping.Load(), ReadsStore: g.readsStore()}
+	digest.Capacities = []peering.Capacity{{Service: "drafts", Endpoints: 4, Slots: 32, Free: int(g.slots.Load())}}
+	if g.fleet.loaded {
+		for index := range 4 {
+			digest.Loads = append(digest.Loads, peering.Load{Endpoint: fmt.Sprint("engine-", index), Running: 3, Unread: 2000})
+		}
+	}
+	return digest
+}
+
+// peer returns the state of another gateway, empty if it is not alive.
+func (g *fleetGateway) peer(other *fleetGateway) peering.Peer {
+	for _, peer := range g.table.Alive() {
+		if peer.Digest.Member.Name == other.member.Name {
+			return peer
+		}
+	}
+	return peering.Peer{}
+}
+
+// lists reports whether the gateway would name another one in its directory.
+func (g *fleetGateway) lists(other *fleetGateway) bool { return g.listed()[other.member.Name] }
+
+// listed returns the names of the other gateways that the gateway would name in its directory.
+func (g *fleetGateway) listed() map[string]bool {
+	listed := map[string]bool{}
+	for _, peer := range g.table.Alive() {
+		if peer.Digest.Ready && !peer.Digest.Stopping {
+			listed[peer.Digest.Member.Name] = true
+		}
+	}
+	return listed
+}
+
+// hasObject reports whether the gateway's copy has an object at a revision or a newer one.
+func (g *fleetGateway) hasObject(kind, name string, revision int64) bool {
+	snapshot, _ := g.copies[kind].Snapshot()
+	return snapshot.Objects[name].Revision >= revision
+}
+
+// hasCopies reports whether the gateway has a copy of the configuration and the endpoints.
+func (g *fleetGateway) hasCopies() bool {
+	return g.copies[configurationKind].Revision() > 0 && g.copies[endpointKind].Revision() > 0
+}
