--- a/internal/informer/informer_test.go
+++ b/internal/informer/informer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -157,3 +158,87 @@
 		}
 	})
 }
+
+// The response to a watch may arrive after a newer copy of a peer was adopted. What has been
+// deleted since then must not return: no later watch would report the deletion again.
+func TestLateWatchResponseDoesNotRestoreDeletedObject(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		responses := make(chan informer.Batch)
+		inf := &informer.Informer{
+			Kind: "endpoints", OnChange: func(informer.Snapshot) {},
+			List: func(context.Context, string, string) (informer.Page, error) { return informer.Page{Revision: 5}, nil },
+			Watch: func(ctx context.Context, _ string, _ int64) (informer.Batch, error) {
+				select {
+				case batch := <-responses:
+					return batch, nil
+				case <-ctx.Done():
+					return informer.Batch{}, ctx.Err()
+				}
+			},
+		}
+		group := concurrency.NewGroup(t.Context())
+		group.Go(inf.Run)
+		synctest.Wait()
+		// An object was created at 7 and deleted at 8.
+		inf.AdoptSnapshot(informer.Snapshot{Revision: 9, Objects: map[string]informer.Object{}})
+		created := informer.Change{Object: informer.Object{Name: "ended", Revision: 7}}
+		for _, batch := range []informer.Batch{
+			{Revision: 7, Changes: []informer.Change{created}},
+			{Revision: 10, Changes: []informer.Change{created, {Object: informer.Object{Name: "new", Revision: 10}}}},
+		} {
+			responses <- batch
+			synctest.Wait()
+			snapshot, _ := inf.Snapshot()
+			if _, exists := snapshot.Objects["ended"]; exists {
+				t.Errorf("after the response at revision %d, the deleted object exists", batch.Revision)
+			}
+		}
+		if snapshot, _ := inf.Snapshot(); snapshot.Revision != 10 || len(snapshot.Objects) != 1 {
+			t.Errorf("copy at revision %d with %d objects, want revision 10 with 1", snapshot.Revision, len(snapshot.Objects))
+		}
+		group.Stop()
+		group.Wait()
+	})
+}
+
+// An informer that stops reading and starts again must continue after its copy, including
+// what it adopted from peers meanwhile, and must not miss a change.
+func TestReadsStopAndStartAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		var passive atomic.Bool
+		inf := &informer.Informer{
+			Kind: "configuration", CoalesceDelay: 100 * time.Millisecond, List: s.list, Watch: s.watch, OnChange: func(informer.Snapshot) {},
+			Reads: func() bool { return !passive.Load() },
+		}
+		group := concurrency.NewGroup(t.Context())
+		group.Go(inf.Run)
+		time.Sleep(time.Second)
+		passive.Store(true)
+		s.write()
+		time.Sleep(time.Second)
+		// The watch that was open reports the change; later ones are not read.
+		requireRevision(t, inf, 2)
+		s.write()
+		time.Sleep(time.Second)
+		requireRevision(t, inf, 2)
+		inf.AdoptSnapshot(informer.Snapshot{Revision: 3, Objects: map[string]informer.Object{"main": {Name: "main", Revision: 3}}})
+		s.write()
+		passive.Store(false)
+		time.Sleep(200 * time.Millisecond)
+		requireRevision(t, inf, 4)
+		// A watch fails after the informer has become passive: the next read must recover.
+		passive.Store(true)
+		s.breakWatches()
+		s.write()
+		time.Sleep(2 * time.Second)
+		passive.Store(false)
+		time.Sleep(200 * time.Millisecond)
+		requireRevision(t, inf, 5)
+		if unavailableSince, _ := inf.Availability(); !unavailableSince.IsZero() {
+			t.Error("the object store counts as unavailable after a successful read")
+		}
+		group.Stop()
+		group.Wait()
+	})
+}
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -31,6 +31,9 @@
 	// digestsPerMemberList is the number of digests per digest that lists the other
 	// gateways: these rarely change and make up most of the bytes of a digest.
 	digestsPerMemberList = 10
+	// seedInterval is the interval at which a seed that is not known to be alive is
+	// contacted.
+	seedInterval = time.Second
 	// exchangeTimeout bounds an exchange of digests; the longest network path has a
 	// latency of a few milliseconds.
 	exchangeTimeout = 400 * time.Millisecond
@@ -40,8 +43,13 @@
 	// copyFetchDelay is how long the local copy must be older than a peer's before the
 	// peer's copy is fetched: the local watch usually catches up sooner.
 	copyFetchDelay = 250 * time.Millisecond
-	// copyTimeout bounds the transfer of a copy.
-	copyTimeout = 2 * time.Second
+	// copyTimeout bounds the transfer of a whole copy, deltaTimeout that of a delta: if the
+	// source is silent, enough time must remain for another one.
+	copyTimeout  = 2 * time.Second
+	deltaTimeout = 500 * time.Millisecond
+	// sourceExclusion is how long a gateway that sent no copy is not asked again while
+	// another one has the same copy.
+	sourceExclusion = 2 * time.Second
 
 	serviceName    = "Gateway"
 	exchangeMethod = serviceName + ".Exchange"
@@ -58,7 +66,7 @@
 	// BulkControl transfers copies, so that digests are not delayed behind them.
 	BulkControl *controlrpc.Client
 	Log         *event.Logger
-	// Digest returns the digest to send. Peering sets its Member, Revisions, Reports,
+	// Digest returns the digest to send. Peering sets its Member, Uptime, Revisions, Reports,
 	// Others and AskOthers.
 	Digest func() Digest
 	// Informers hold the copies of objects that gateways fetch from each other.
@@ -78,6 +86,9 @@
 	// behindSince holds, by kind, the time since which the local copy has been older
 	// than that of a peer. Only SyncCopies uses it.
 	behindSince map[string]time.Time
+	// silentUntil holds, by name, the time until which a gateway that sent no copy is not
+	// asked for one. mu protects it.
+	silentUntil map[string]time.Time
 }
 
 // Register registers the service for calls from other gateways on a server.
@@ -150,11 +161,20 @@
 }
 
 // contactSeed exchanges digests with a seed address until another gateway is known, and
-// for at least settleTime, because gateways often start at the same time.
+// for at least settleTime, because gateways often start at the same time. Later it does so
+// while the gateway at the address is not known to be alive: after a long cut, both sides
+// have forgotten each other.
 func (p *Peering) contactSeed(ctx context.Context, address string) {
-	for (len(p.Table.Members()) == 0 || time.Since(p.Table.Start) < settleTime) && ctx.Err() == nil {
-		p.exchange(ctx, address, true, false)
-		concurrency.Sleep(ctx, 2*exchangeInterval)
+	for ctx.Err() == nil {
+		starting := len(p.Table.Members()) == 0 || time.Since(p.Table.Start) < settleTime
+		if starting || !p.Table.aliveAt(address) {
+			p.exchange(ctx, address, true, false)
+		}
+		if starting {
+			concurrency.Sleep(ctx, 2*exchangeInterval)
+		} else {
+			concurrency.Tick(ctx, seedInterval)
+		}
 	}
 }
 
@@ -233,9 +253,7 @@
 		digest.Reports = p.Table.directReports()
 	}
 	if withOthers {
-		for _, peer := range p.Table.Alive() {
-			digest.Others = append(digest.Others, peer.Digest.Member)
-		}
+		digest.Others = p.Table.aliveMembers()
 	}
 	return digest
 }
@@ -243,7 +261,7 @@
 // localDigest returns the digest without the parts that describe other gateways.
 func (p *Peering) localDigest() Digest {
 	digest := p.Digest()
-	digest.Member = p.Self
+	digest.Member, digest.Uptime = p.Self, time.Since(p.Table.Start)
 	p.idle.Store(digest.idle())
 	digest.Revisions = map[string]int64{}
 	for _, local := range p.Informers {
