--- a/internal/integration/installation_test.go
+++ b/internal/integration/installation_test.go
@@ -158,12 +158,13 @@
 }
 
 func (i *installation) startEndpoint(endpoint *platformtest.Endpoint) {
-	listener, err := i.network.ForProcess(endpoint.ID).Listen(endpoint.Address)
-	if err != nil {
-		i.t.Fatal(err)
-	}
+	network := i.network.ForProcess(endpoint.ID)
 	i.endpoints[endpoint.ID] = endpoint
-	i.fakeGroup.Go(func(ctx context.Context) { endpoint.Serve(ctx, listener) })
+	i.fakeGroup.Go(func(ctx context.Context) {
+		if err := endpoint.ServeRestarting(ctx, func() (net.Listener, error) { return network.Listen(endpoint.Address) }); err != nil {
+			i.t.Errorf("%s: %v", endpoint.ID, err)
+		}
+	})
 	endpoint.Register("ready")
 }
 
@@ -184,7 +185,7 @@
 func (i *installation) startEngine(zone, index int, version int64) {
 	i.startEndpoint(&platformtest.Endpoint{
 		ID: engineName(zone, index), Incarnation: 1, Service: "drafts", Address: engineHost(zone, index) + ":90", Zone: zoneName(zone),
-		Slots: engineConfig.Slots, Store: i.store, Engine: platformtest.NewEngine(modelName, engineConfig, i.origin, version),
+		Slots: engineConfig.Slots, RestartDelay: 2 * time.Second, Store: i.store, Engine: platformtest.NewEngine(modelName, engineConfig, i.origin, version),
 	})
 	i.startLoader(zone, index)
 }
