integration: reproduce a prompt part that ends one engine after the other

Callers of three gateways send requests that share one part, under which each engine ends, and sound ones that share their key, their first part and other parts. Gateways treat each crash as a fault of the engine alone.

--- /dev/null
+++ b/internal/integration/poison_test.go
@@ -0,0 +1,161 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/mimosaward/mimosaward/internal/concurrency"
+	"github.com/mimosaward/mimosaward/platform/platformtest"
+)
+
+const (
+	// contact is the time after the fifth crash from which gateways must have stopped to
+	// send requests with the part.
+	contact = 3 * time.Second
+	// maxSentAfterContact is the number of such requests that may still reach engines.
+	maxSentAfterContact = 3
+	// crashesToLearn is the number of crashes after which gateways must know the part.
+	crashesToLearn = 5
+
+	poisonousPart = "bad0"
+)
+
+// poisonCallers sends sound requests and requests with a poisonous part to all gateways.
+type poisonCallers struct {
+	installation *installation
+	group        *concurrency.Group
+
+	mu    sync.Mutex
+	sound []soundRequest
+}
+
+// soundRequest is a request without the poisonous part.
+type soundRequest struct {
+	sentAt time.Time
+	served bool
+}
+
+// send sends a request to a gateway every interval until the group stops.
+func (c *poisonCallers) send(zone int, kind string, interval time.Duration, parts func(index int) []string) {
+	template := c.installation.chatCall(zone)
+	c.group.Go(func(ctx context.Context) {
+		for index := 0; concurrency.Sleep(ctx, interval); index++ {
+			call := template
+			call.AttemptID = fmt.Sprintf("%s-%d-%d", kind, zone, index)
+			call.PromptParts = parts(index)
+			sentAt := time.Now()
+			c.group.Go(func(context.Context) {
+				response, err := platformtest.Do(c.installation.network.ForProcess("caller").Dial, call)
+				if slices.Contains(call.PromptParts, poisonousPart) {
+					return
+				}
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				c.sound = append(c.sound, soundRequest{sentAt: sentAt, served: err == nil && response.Status == 200 && response.TimeToFirstByte > 0})
+			})
+		}
+	})
+}
+
+// servedShare returns the number of sound requests sent in a period and the share of them
+// that an engine began to answer.
+func (c *poisonCallers) servedShare(from, to time.Time) (sent int, share float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	served := 0
+	for _, request := range c.sound {
+		if request.sentAt.Before(from) || !request.sentAt.Before(to) {
+			continue
+		}
+		sent++
+		if request.served {
+			served++
+		}
+	}
+	return sent, float64(served) / float64(max(1, sent))
+}
+
+// crashes returns the times of all crashes, in order.
+func (i *installation) crashes() []time.Time {
+	var all []time.Time
+	for _, endpoint := range i.endpoints {
+		all = append(all, endpoint.Crashes()...)
+	}
+	slices.SortFunc(all, time.Time.Compare)
+	return all
+}
+
+// runsWithPart returns the times at which requests with a prompt part reached engines.
+func (i *installation) runsWithPart(part string) []time.Time {
+	var all []time.Time
+	for _, endpoint := range i.endpoints {
+		for _, run := range endpoint.Executions() {
+			if slices.Contains(run.PromptParts, part) {
+				all = append(all, run.StartedAt)
+			}
+		}
+	}
+	return all
+}
+
+// Guards against a prompt part that ends one engine after the other: requests with the part
+// came at every gateway, and each gateway sent them to the next engine.
+func TestPoisonousPromptPartStopsReachingEngines(t *testing.T) {
+	for name, events := range map[string]int{"crash before the first event": 0, "crash after the first event": 1} {
+		t.Run(name, func(t *testing.T) {
+			withInstallation(t, func(i *installation) {
+				callers := &poisonCallers{installation: i, group: concurrency.NewGroup(context.Background())}
+				for zone := range zoneCount {
+					callers.send(zone, "sound", 250*time.Millisecond, func(index int) []string {
+						return []string{"first", fmt.Sprint("subject-", index%7), fmt.Sprint("session-", zone, "-", index/4)}
+					})
+				}
+				time.Sleep(10 * time.Second)
+				onset := time.Now()
+				i.setFaults("drafts", platformtest.EndpointFaults{CrashOnPart: poisonousPart, EventsBeforeCrash: events})
+				for zone := range zoneCount {
+					callers.send(zone, "poisonous", time.Second, func(index int) []string {
+						return []string{"first", poisonousPart, fmt.Sprint("subject-", index%7)}
+					})
+				}
+				time.Sleep(40 * time.Second)
+				end := time.Now()
+				callers.group.Stop()
+				callers.group.Wait()
+				i.requirePartStopped(poisonousPart)
+				crashes := i.crashes()
+				if len(crashes) == 0 {
+					t.Fatal("no engine crashed")
+				}
+				_, usual := callers.servedShare(onset.Add(-10*time.Second), onset)
+				sent, share := callers.servedShare(crashes[min(len(crashes), crashesToLearn)-1].Add(2*contact), end)
+				if sent < 20 || share < usual/2 {
+					t.Errorf("%d sound requests later than %s after the crashes, %.0f %% of them served, %.0f %% before; want half as many at least", sent, 2*contact, 100*share, 100*usual)
+				}
+			})
+		})
+	}
+}
+
+// requirePartStopped checks that few requests with a part reached engines once the gateways
+// had time to learn that it crashes them.
+func (i *installation) requirePartStopped(part string) {
+	i.t.Helper()
+	crashes := i.crashes()
+	if len(crashes) < crashesToLearn {
+		return
+	}
+	late := 0
+	for _, at := range i.runsWithPart(part) {
+		if at.After(crashes[crashesToLearn-1].Add(contact)) {
+			late++
+		}
+	}
+	if late > maxSentAfterContact {
+		i.t.Errorf("%d requests with part %s reached engines later than %s after crash %d, %d engines crashed; want %d at most", late, part, contact, crashesToLearn, len(crashes), maxSentAfterContact)
+	}
+}
