--- a/internal/clientrequest/clientrequest.go
+++ b/internal/clientrequest/clientrequest.go
@@ -38,4 +38,7 @@
 	// SharedPrefixID identifies the last part of the prompt that is shared with other
 	// requests, such as a session or a subject; empty means none.
 	SharedPrefixID string
+	// SharedParts holds the IDs of the first parts of the prompt, without the last part,
+	// which only this request or its session has.
+	SharedParts []string
 }
--- /dev/null
+++ b/internal/quarantine/crash.go
@@ -0,0 +1,67 @@
+package quarantine
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Crash is the end of an engine start while it processed requests.
+type Crash struct {
+	Endpoint    string
+	Incarnation int64
+	// Age is the time since the crash.
+	Age time.Duration
+	// Parts are the suspected prompt parts. Cleared are those with which a request was
+	// answered since.
+	Parts   []string
+	Cleared []string
+	// Reporter names the first gateway that reported the crash.
+	Reporter string
+}
+
+// crashKey identifies an engine start.
+type crashKey struct {
+	endpoint    string
+	incarnation int64
+}
+
+// crash is a known crash. Parts maps each part to whether it was cleared; a cleared part
+// stays cleared, so that gateways agree in whichever order they learn of it.
+type crash struct {
+	at       time.Time
+	reporter string
+	parts    map[string]bool
+}
+
+// suspect adds a part and reports whether it was unknown.
+func (c *crash) suspect(part string) bool {
+	if _, known := c.parts[part]; known || len(c.parts) >= maxPartsPerCrash {
+		return false
+	}
+	c.parts[strings.Clone(part)] = false
+	return true
+}
+
+// clear clears a part and reports whether it was suspected.
+func (c *crash) clear(part string) bool {
+	if cleared, known := c.parts[part]; !known || cleared {
+		return false
+	}
+	c.parts[part] = true
+	return true
+}
+
+func (c *crash) describe(key crashKey, now time.Time) Crash {
+	described := Crash{Endpoint: key.endpoint, Incarnation: key.incarnation, Age: now.Sub(c.at), Reporter: c.reporter}
+	for part, cleared := range c.parts {
+		if cleared {
+			described.Cleared = append(described.Cleared, part)
+		} else {
+			described.Parts = append(described.Parts, part)
+		}
+	}
+	slices.Sort(described.Parts)
+	slices.Sort(described.Cleared)
+	return described
+}
--- /dev/null
+++ b/internal/quarantine/digest.go
@@ -0,0 +1,82 @@
+package quarantine
+
+import "time"
+
+// maxSharedRejections limits the rejections in a digest to those that end last.
+const maxSharedRejections = 64
+
+// Digest is what a gateway tells others about crashes and rejections.
+type Digest struct {
+	Crashes    []Crash
+	Rejections []Rejection
+}
+
+// Rejection is a rejected part.
+type Rejection struct {
+	Part    string
+	Strikes int
+	// Remaining is the time until the rejection ends; it is negative afterwards, while
+	// only trials are allowed.
+	Remaining time.Duration
+	// Lifted is true if a request with the part was answered since.
+	Lifted bool
+	// By names the gateway that decided.
+	By string
+}
+
+// Digest returns what this gateway knows. Crashes that a rejection explains are left out.
+func (q *Quarantine) Digest(now time.Time) Digest {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.decide(now)
+	digest := Digest{Rejections: q.describeRejections(now)}
+	for key, known := range q.crashes {
+		if now.Sub(known.at) <= shareTime && !q.explained(known) {
+			digest.Crashes = append(digest.Crashes, known.describe(key, now))
+		}
+	}
+	return digest
+}
+
+// Merge adds what another gateway knows. sameCell is true if that gateway told the whole
+// local cell.
+func (q *Quarantine) Merge(digest Digest, sameCell bool, now time.Time) {
+	if len(digest.Crashes) == 0 && len(digest.Rejections) == 0 {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	changed := false
+	for _, told := range digest.Rejections {
+		changed = q.mergeRejection(told, now) || changed
+	}
+	for _, told := range digest.Crashes {
+		changed = q.addCrash(told, now) || changed
+	}
+	if changed {
+		q.notify(!sameCell)
+	}
+	q.decide(now)
+}
+
+// mergeRejection adds a rejection and reports whether it was unknown.
+func (q *Quarantine) mergeRejection(told Rejection, now time.Time) bool {
+	existing := q.rejections[told.Part]
+	until := now.Add(told.Remaining)
+	switch {
+	case existing == nil || existing.strikes < told.Strikes:
+		q.reject(told.Part, told.Strikes, until.Add(-rejectionTime(told.Strikes)), Decision{By: told.By})
+		if added := q.rejections[told.Part]; told.Lifted && added != nil {
+			q.lift(told.Part, added, now)
+		}
+		return true
+	case existing.strikes > told.Strikes:
+		return false
+	case told.Lifted && !existing.lifted:
+		q.lift(told.Part, existing, now)
+		return true
+	case until.Before(existing.until):
+		existing.until = until
+	}
+	return false
+}
