gateway: share under which prompt parts engines ended

The log could not tell which request ended an engine: a crash looked like any response that broke off, and no record named the parts of the prompt.

A connection that breaks before the first event of a request or soon after it is now logged with the request, the endpoint, its incarnation, the parts and the phase (4108). The gateway then connects to the engine. If that is refused, the engine ended: this is logged (4109) and shared with the other gateways in digests and reports, news out of turn, as well as decisions to reject a part and their end (4110 to 4112). Two counters and a gauge show the same. Requests are not refused yet.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -104,6 +104,11 @@
 	EndpointNotLent    = Event{4106, logrus.InfoLevel, "no endpoint granted to a request of another cell", "Check the reason in the record."}
 	LenderUnreachable  = Event{4107, logrus.WarnLevel, "gateway of another cell does not respond", "If this repeats, check that gateway and the network to it."}
 	AttemptFailed      = Event{4104, logrus.WarnLevel, "endpoint failed to serve a request", "If this repeats for an endpoint, check the endpoint and the network to it."}
+	CrashSuspected     = Event{4108, logrus.WarnLevel, "connection to an engine broke under a request that it had begun or not yet answered", "If the engine ended, an event of the confirmed end follows; otherwise check the network to the engine."}
+	CrashConfirmed     = Event{4109, logrus.WarnLevel, "engine ended under requests", "The prompt parts of these requests are suspected until a request with them is answered."}
+	PartRejected       = Event{4110, logrus.WarnLevel, "requests with a prompt part are refused because engines ended under them", "Find the prompts with this part; callers get a refusal until the time in the record."}
+	PartAdmitted       = Event{4111, logrus.InfoLevel, "requests with a prompt part are admitted again after one was answered", noAction}
+	PartTried          = Event{4112, logrus.InfoLevel, "single request with a refused prompt part sent to find out whether engines still end", noAction}
 	RequestCut         = Event{4120, logrus.WarnLevel, "request cut off by the exit of the process", "If this repeats, check that the grace period exceeds the time that requests take."}
 	OutcomeUnknown     = Event{4005, logrus.WarnLevel, "outcome of a non-idempotent request is unknown", "The caller received the outcome; the idempotency key stays claimed. Check whether the service executed the request."}
 )
@@ -118,6 +123,7 @@
 		RolloutStarted, SetComplete, ChunkCorrupt, PeerExcluded, LoadOrdered, LoadFailed, LoadCompleted, ManifestFailed,
 		ChunkMemoryTooSmall, SwapWaiting, RolloutAbandoned, EngineUnreachable, EngineReachable, GatewaysUnreachable, GatewaysReachable,
 		EndpointCold, ResponseMismatched, StreamResumed, StreamAborted, OutcomeUnknown, LoaderUnreachable, LoaderReachable, RequestSent, RequestEnded, RequestRefused, AttemptFailed, EndpointLent, EndpointNotLent, LenderUnreachable,
+		CrashSuspected, CrashConfirmed, PartRejected, PartAdmitted, PartTried,
 		RequestCut,
 	}
 }
--- a/internal/fakes/network.go
+++ b/internal/fakes/network.go
@@ -6,6 +6,7 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,7 +16,7 @@
 
 // errConnectionRefused is returned by a dial if no process listens on the
 // address or the path is disconnected.
-var errConnectionRefused = errors.New("connection refused")
+var errConnectionRefused = errors.WithStack(syscall.ECONNREFUSED)
 
 // ControlPort is the suffix of the control addresses in tests.
 const ControlPort = ":81"
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -31,6 +31,7 @@
 		a.discard()
 		if r.ctx.Err() == nil {
 			a.grant.Record(dispatch.Failed)
+			r.suspectCrash(a.grant.Endpoint, phaseUnanswered, err)
 		}
 		r.refuse(possiblyExecuted("answerBroken"))
 		return
@@ -39,6 +40,7 @@
 		a.grant.Record(dispatch.Errored)
 	} else {
 		a.grant.Record(dispatch.Responded)
+		r.recordAnswered()
 	}
 	platform.CopyResponseHeader(&r.httpCtx.Response.Header, a.exchange.Header())
 	r.httpCtx.Response.SetBody(body)
@@ -106,6 +108,7 @@
 		return lastRefusal
 	case failed.mayHaveRun:
 		grant.Record(dispatch.Failed)
+		r.suspectCrash(grant.Endpoint, phaseUnanswered, failed.err)
 		return possiblyExecuted("endpointFailed")
 	case failed.misdirected:
 		grant.Record(dispatch.Misdirected)
--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -9,6 +9,7 @@
 // digest returns the load report that the gateway sends to its peers.
 func (g *Gateway) digest() peering.Digest {
 	digest := peering.Digest{Ready: g.ready(), Stopping: g.drain.started(), ReadsStore: g.peerTable.IsReader() && g.observer.StoreAvailable()}
+	digest.Quarantine = g.quarantine.Digest(time.Now())
 	g.dispatcher.AddTo(&digest)
 	for _, rollout := range g.observer.Rollouts().All() {
 		digest.Rollouts = append(digest.Rollouts, peering.Rollout{Model: rollout.Model, Version: rollout.Version, Age: time.Since(rollout.Since)})
@@ -21,5 +22,6 @@
 	for _, rollout := range digest.Rollouts {
 		g.observer.Rollouts().Merge(rollout.Model, rollout.Version, time.Now().Add(-rollout.Age))
 	}
+	g.quarantine.Merge(digest.Quarantine, true, time.Now())
 	g.dispatcher.RecordDigest(digest)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/mimosaward/mimosaward/internal/event"
 	"github.com/mimosaward/mimosaward/internal/loader"
 	"github.com/mimosaward/mimosaward/internal/peering"
+	"github.com/mimosaward/mimosaward/internal/quarantine"
 	"github.com/mimosaward/mimosaward/internal/retry"
 	"github.com/mimosaward/mimosaward/internal/storewatch"
 	"github.com/mimosaward/mimosaward/platform"
@@ -79,6 +80,8 @@
 	controlClient *controlrpc.Client
 	controlServer *controlrpc.Server
 	loaderPoller  *loaderPoller
+	quarantine    *quarantine.Quarantine
+	crashDetector *crashDetector
 	drain         drain
 }
 
@@ -154,9 +157,13 @@
 	g.lender = &lender{acquire: g.dispatcher.Acquire, log: g.Log}
 	g.tasks = concurrency.NewGroup(context.Background())
 	g.controlClient = &controlrpc.Client{Dial: g.Dial}
+	g.quarantine = g.newQuarantine()
+	g.crashDetector = &crashDetector{Dial: g.dialEndpoint, Leaving: g.leaving, OnCrash: g.recordCrash}
 	g.peering = &peering.Peering{
 		Self: g.self, Table: g.peerTable, Control: g.controlClient, BulkControl: &controlrpc.Client{Dial: g.Dial}, Log: g.Log,
 		Digest: g.digest, Informers: informers, Seeds: g.Deployment.Seeds, OnDigest: g.applyDigest,
+		OnReport: func(report peering.Report) { g.quarantine.Merge(report.Quarantine, false, time.Now()) },
+		CellNews: g.quarantine.CellNews, News: g.quarantine.News,
 	}
 	g.loaderPoller = &loaderPoller{
 		Control: g.controlClient, Ports: g.Deployment.PeerPorts, Log: g.Log, Plan: g.loaderPlan, OnStatus: g.dispatcher.RecordStatus,
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -21,6 +21,8 @@
 	duration         *prometheus.HistogramVec
 	queueTimes       prometheus.Histogram
 	predictionErrors prometheus.Histogram
+	suspectedCrashes prometheus.Counter
+	confirmedCrashes prometheus.Counter
 }
 
 // Outcomes of requests.
@@ -67,8 +69,14 @@
 			Name: "mimosaward_gateway_prediction_error_seconds", Help: "Time to a stream's first event, less the predicted one.",
 			Buckets: []float64{-0.4, -0.2, -0.1, -0.05, 0, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6},
 		}),
+		suspectedCrashes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "mimosaward_gateway_suspected_crashes_total", Help: "Requests under which the connection to an engine broke before or soon after the first event.",
+		}),
+		confirmedCrashes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "mimosaward_gateway_confirmed_crashes_total", Help: "Engine starts that ended under such requests.",
+		}),
 	}
-	registry.MustRegister(m.requests, m.refusals, m.attempts, m.timeToFirst, m.duration, m.queueTimes, m.predictionErrors)
+	registry.MustRegister(m.suspectedCrashes, m.confirmedCrashes, m.requests, m.refusals, m.attempts, m.timeToFirst, m.duration, m.queueTimes, m.predictionErrors)
 	return m
 }
 
@@ -129,6 +137,7 @@
 	})
 	gauge("mimosaward_gateway_store_calls", "Calls made to the store since the start.", func() float64 { return float64(g.store.Calls()) })
 	gauge("mimosaward_gateway_connections_opened", "Connections opened to endpoints since the start.", func() float64 { return float64(g.pool.Opened()) })
+	gauge("mimosaward_gateway_rejected_parts", "Prompt parts whose requests are refused.", func() float64 { return float64(g.quarantine.Size()) })
 	gauge("mimosaward_gateway_retry_credit", "Retries that are allowed now.", g.retries.Credit)
 	registry.MustRegister(&endpointCollector{dispatcher: g.dispatcher}, &informerCollector{observer: g.observer})
 }
--- /dev/null
+++ b/internal/gateway/quarantine.go
@@ -0,0 +1,36 @@
+package gateway
+
+import (
+	"github.com/mimosaward/mimosaward/internal/event"
+	"github.com/mimosaward/mimosaward/internal/quarantine"
+)
+
+// newQuarantine returns the quarantine of prompt parts, which logs its decisions.
+func (g *Gateway) newQuarantine() *quarantine.Quarantine {
+	return &quarantine.Quarantine{
+		Self: g.self.Name, Gateways: g.aliveGateways, OnRejected: g.logPartRejected,
+		OnEnded: func(part string) { g.Log.Emit(event.PartAdmitted, event.Fields{"part": part}) },
+		OnTrial: func(part string) { g.Log.Emit(event.PartTried, event.Fields{"part": part}) },
+	}
+}
+
+func (g *Gateway) aliveGateways() []string {
+	var names []string
+	for _, peer := range g.peerTable.Alive() {
+		names = append(names, peer.Digest.Member.Name)
+	}
+	return names
+}
+
+// logPartRejected logs the rejection of a part with the crashes that it is based on.
+func (g *Gateway) logPartRejected(decision quarantine.Decision) {
+	var endpoints, reporters []string
+	var ages []int64
+	for _, crash := range decision.Crashes {
+		endpoints, reporters, ages = append(endpoints, crash.Endpoint), append(reporters, crash.Reporter), append(ages, crash.Age.Milliseconds())
+	}
+	g.Log.Emit(event.PartRejected, event.Fields{
+		"part": decision.Part, "strikes": decision.Strikes, "until": decision.Until, "by": decision.By,
+		"endpoints": endpoints, "reporters": reporters, "agesMs": ages,
+	})
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -29,13 +29,14 @@
 	relay.events = eventstream.Reader{Read: relay.readUpstream}
 	event, err := relay.events.Next()
 	if err != nil && !errors.Is(err, io.EOF) {
+		r.suspectCrash(a.grant.Endpoint, phaseFirstEvent, err)
 		_ = relay.Close()
 		r.refuse(possiblyExecuted("streamBroken"))
 		return
 	}
 	a.grant.Record(dispatch.Responded)
-	relay.pending = event.Raw
-	relay.err = err
+	relay.firstEventAt = time.Now()
+	relay.accept(event, err)
 	relay.timeToFirst = time.Since(r.arrived)
 	r.gateway.metrics.predictionErrors.Observe((relay.timeToFirst - a.grant.Decision.QueueTime - a.grant.Decision.PredictedLatency).Seconds())
 	platform.CopyResponseHeader(&r.httpCtx.Response.Header, a.exchange.Header())
@@ -68,6 +69,24 @@
 	err     error
 	// timeToFirst is the time from the arrival of the request to the first event.
 	timeToFirst time.Duration
+	// firstEventAt is when the first event arrived.
+	firstEventAt time.Time
+	// answered is true once the engine is known to have survived the request.
+	answered bool
+}
+
+// accept takes the next event or the error that ended the stream.
+func (s *streamRelay) accept(event eventstream.Event, err error) {
+	s.pending, s.err = event.Raw, err
+	early := time.Since(s.firstEventAt) <= earlyPhase
+	switch {
+	case s.answered:
+	case errors.Is(err, io.EOF), err == nil && !early:
+		s.answered = true
+		s.request.recordAnswered()
+	case err != nil && early:
+		s.request.suspectCrash(s.attempt.grant.Endpoint, phaseEarly, err)
+	}
 }
 
 func (s *streamRelay) readUpstream(buffer []byte) (int, error) {
@@ -80,8 +99,7 @@
 		if s.err != nil {
 			return 0, s.err
 		}
-		event, err := s.events.Next()
-		s.pending, s.err = event.Raw, err
+		s.accept(s.events.Next())
 	}
 	n := copy(buffer, s.pending)
 	s.pending = s.pending[n:]
--- a/internal/peering/digest.go
+++ b/internal/peering/digest.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/mimosaward/mimosaward/internal/engine"
+	"github.com/mimosaward/mimosaward/internal/quarantine"
 )
 
 // Member describes a gateway to its peers.
@@ -40,6 +41,8 @@
 	Reports []Report
 	// Rollouts lists the model versions known to the gateway, with their ages.
 	Rollouts []Rollout
+	// Quarantine describes crashes of engines and the prompt parts that cause them.
+	Quarantine quarantine.Digest
 	// ReadsStore is true while the gateway reads the object store and it responds.
 	ReadsStore bool
 	// Others lists other gateways that are alive. Only some digests include them.
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -67,6 +67,12 @@
 	Seeds []string
 	// OnDigest is called with each digest received from another gateway.
 	OnDigest func(Digest)
+	// OnReport is called with each report received from another cell.
+	OnReport func(Report)
+	// CellNews and News return channels that are closed when the next digests to the cell
+	// or reports to other cells must not wait for their interval.
+	CellNews func() <-chan struct{}
+	News     func() <-chan struct{}
 
 	// idle is true if the last local digest reported no requests.
 	idle atomic.Bool
@@ -100,7 +106,7 @@
 
 // Report receives a report on another cell and replies with one on the local cell.
 func (s *service) Report(args, reply *Report) error {
-	s.peering.Table.recordReport(*args, true)
+	s.peering.receiveReport(*args)
 	*reply = s.peering.newReport()
 	return nil
 }
@@ -178,19 +184,39 @@
 // two gateways, the one with the lower name initiates the exchange; the other one does
 // so only after callTakeoverIntervals intervals without a digest.
 func (p *Peering) runExchangeLoop(ctx context.Context, name string) {
+	urgent := false
 	for round := 0; ctx.Err() == nil; round++ {
+		news := p.CellNews()
 		member, exists := p.lookupMember(name)
 		if !exists {
 			return
 		}
 		period := p.exchangePeriod(member)
-		if p.Self.Name < name || p.Table.SinceLastDigest(name) > callTakeoverIntervals*period {
+		if urgent || p.Self.Name < name || p.Table.SinceLastDigest(name) > callTakeoverIntervals*period {
 			p.exchange(ctx, member.Control, round%digestsPerMemberList == 0, round%digestsPerReport == 0)
 		}
-		concurrency.Tick(ctx, period)
+		urgent = waitForNews(ctx, period, news)
 	}
 }
 
+// newsDelay is the delay before news is passed on, which limits the number of messages if
+// there is much.
+const newsDelay = 50 * time.Millisecond
+
+// waitForNews waits for the next tick of an interval. If there is news earlier, it returns
+// true after newsDelay.
+func waitForNews(ctx context.Context, interval time.Duration, news <-chan struct{}) bool {
+	timer := time.NewTimer(concurrency.UntilTick(interval))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	case <-news:
+		return concurrency.Sleep(ctx, newsDelay)
+	}
+	return false
+}
+
 // exchangePeriod returns the interval between digests with a gateway.
 func (p *Peering) exchangePeriod(member Member) time.Duration {
 	switch {
@@ -257,6 +283,11 @@
 	p.OnDigest(digest)
 }
 
+func (p *Peering) receiveReport(report Report) {
+	p.Table.recordReport(report, true)
+	p.OnReport(report)
+}
+
 // logAliveChanges logs which gateways became alive or unresponsive since the last check.
 func (p *Peering) logAliveChanges() {
 	alive := map[string]bool{}
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -17,12 +17,15 @@
 	"github.com/mimosaward/mimosaward/internal/event"
 	"github.com/mimosaward/mimosaward/internal/fakes"
 	"github.com/mimosaward/mimosaward/internal/peering"
+	"github.com/mimosaward/mimosaward/internal/quarantine"
 )
 
 // node is a gateway that runs only peering.
 type node struct {
 	table *peering.Table
 	group *concurrency.Group
+	// quarantine shares crashes of engines.
+	quarantine *quarantine.Quarantine
 	// cutOff is true while the gateway cannot reach the object store.
 	cutOff atomic.Bool
 }
@@ -39,9 +42,18 @@
 	host := network.ForProcess(self.Name)
 	dial := func(_ context.Context, address string) (net.Conn, error) { return host.Dial(address) }
 	n := &node{table: &peering.Table{Self: self, Start: time.Now()}, group: concurrency.NewGroup(context.Background())}
+	n.quarantine = &quarantine.Quarantine{
+		Self: self.Name, Gateways: n.aliveNames, OnRejected: func(quarantine.Decision) {}, OnEnded: func(string) {}, OnTrial: func(string) {},
+	}
 	peers := &peering.Peering{
 		Self: self, Table: n.table, Control: &controlrpc.Client{Dial: dial}, BulkControl: &controlrpc.Client{Dial: dial}, Log: event.Discard(),
-		Digest: func() peering.Digest { return peering.Digest{Ready: true, ReadsStore: n.readsStore()} }, Seeds: []string{newMember(0, 0).Control}, OnDigest: func(peering.Digest) {},
+		Digest: func() peering.Digest {
+			return peering.Digest{Ready: true, ReadsStore: n.readsStore(), Quarantine: n.quarantine.Digest(time.Now())}
+		},
+		Seeds:    []string{newMember(0, 0).Control},
+		OnDigest: func(digest peering.Digest) { n.quarantine.Merge(digest.Quarantine, true, time.Now()) },
+		OnReport: func(report peering.Report) { n.quarantine.Merge(report.Quarantine, false, time.Now()) },
+		CellNews: n.quarantine.CellNews, News: n.quarantine.News,
 	}
 	server := controlrpc.NewServer()
 	if err := peers.Register(server); err != nil {
@@ -59,6 +71,14 @@
 
 func (n *node) readsStore() bool { return n.table.IsReader() && !n.cutOff.Load() }
 
+func (n *node) aliveNames() []string {
+	var names []string
+	for _, peer := range n.table.Alive() {
+		names = append(names, peer.Digest.Member.Name)
+	}
+	return names
+}
+
 // aliveMembers returns the names and incarnations of the gateways that the node considers alive.
 func (n *node) aliveMembers() []string {
 	var names []string
--- a/internal/peering/report.go
+++ b/internal/peering/report.go
@@ -1,11 +1,17 @@
 package peering
 
-import "time"
+import (
+	"time"
+
+	"github.com/mimosaward/mimosaward/internal/quarantine"
+)
 
 // Report describes the gateways of a cell to the other cells.
 type Report struct {
 	Cell      string
 	Summaries []Summary
+	// Quarantine is what the sender knows about crashes of engines.
+	Quarantine quarantine.Digest
 	// Age is the time since the report was created, as known to its sender.
 	Age time.Duration
 }
--- a/internal/peering/reportexchange.go
+++ b/internal/peering/reportexchange.go
@@ -32,13 +32,16 @@
 // until ctx is done.
 func (p *Peering) exchangeReports(ctx context.Context) {
 	excludedUntil := map[string]time.Time{}
-	for round := 0; concurrency.Tick(ctx, reportInterval); round++ {
+	news := p.News()
+	for round := 0; ctx.Err() == nil; round++ {
+		urgent := waitForNews(ctx, reportInterval, news)
+		news = p.News()
 		cells := p.Table.Cells()
 		group := concurrency.NewGroup(ctx)
 		failed := make(chan string, len(cells.Names()))
 		for _, cell := range cells.Names() {
 			remote := cells.Members(cell)[0].Region != p.Self.Region
-			if cell == cells.Of(p.Self.Name) || (remote && round%roundsPerRemoteReport != 0) || !p.isDelegate(cell) {
+			if cell == cells.Of(p.Self.Name) || (remote && !urgent && round%roundsPerRemoteReport != 0) || !p.isDelegate(cell) {
 				continue
 			}
 			if partner, ok := choosePartner(p.Self.Name, cells.Members(cell), excludedUntil); ok {
@@ -89,7 +92,7 @@
 		// No logging here: logAliveChanges reports when gateways are no longer alive.
 		return false
 	}
-	p.Table.recordReport(reply, true)
+	p.receiveReport(reply)
 	return true
 }
 
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/mimosaward/mimosaward/internal/quarantine"
 )
 
 const (
@@ -98,7 +100,7 @@
 	if entry == nil || entry.member.Incarnation != digest.Member.Incarnation {
 		return
 	}
-	digest.Others, digest.Reports = nil, nil
+	digest.Others, digest.Reports, digest.Quarantine = nil, nil, quarantine.Digest{}
 	entry.peer = Peer{Digest: digest, ReceivedAt: time.Now()}
 }
 
@@ -115,6 +117,8 @@
 	if t.reports == nil {
 		t.reports = map[string]storedReport{}
 	}
+	// Receivers of the report have applied it.
+	report.Quarantine = quarantine.Digest{}
 	t.reports[report.Cell] = storedReport{report: report, currentAt: currentAt, direct: direct}
 	for _, summary := range report.Summaries {
 		entry := t.peers[summary.Name]
@@ -147,7 +151,7 @@
 
 // ownReport returns the report on the local cell. self is the local digest.
 func (t *Table) ownReport(self Digest) Report {
-	report := Report{Cell: t.Cells().Of(t.Self.Name), Summaries: []Summary{self.summary()}}
+	report := Report{Cell: t.Cells().Of(t.Self.Name), Summaries: []Summary{self.summary()}, Quarantine: self.Quarantine}
 	for _, peer := range t.CellPeers() {
 		report.Summaries = append(report.Summaries, peer.Digest.summary())
 	}
