gateway: refuse requests with a prompt part that crashes engines

A gateway treated each crash as a fault of the engine alone and sent the next request with the part to the next engine.

A request with a part that was in requests at three engine starts that ended is now refused with 503 and the time until the rejection ends, before it waits for an endpoint and again once it got one. It counts against neither the retry budget nor the health of an endpoint. The gateways learn of the crashes from each other.

--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -54,10 +54,10 @@
 func (r *request) sendWithRetries(job *dispatch.Job) (*attempt, *refusal) {
 	lastRefusal := notExecuted(dispatch.NoEndpoint, defaultRetryAfter)
 	for attempts, unsent := 0, 0; ; {
-		grant, refused := r.gateway.federation.Acquire(r.ctx, job)
+		grant, refused := r.acquire(job, attempts)
 		if refused != nil {
 			if attempts == 0 {
-				lastRefusal = notExecuted(refused.Reason, refused.RetryAfter)
+				lastRefusal = refused
 			}
 			return nil, lastRefusal
 		}
@@ -96,6 +96,23 @@
 	}
 }
 
+// acquire waits for an endpoint for the job. A request with a rejected prompt part is
+// refused, also if the part became rejected while the job waited.
+func (r *request) acquire(job *dispatch.Job, attempts int) (*dispatch.Grant, *refusal) {
+	if refused := r.checkQuarantine(attempts); refused != nil {
+		return nil, refused
+	}
+	grant, refused := r.gateway.federation.Acquire(r.ctx, job)
+	if refused != nil {
+		return nil, notExecuted(refused.Reason, refused.RetryAfter)
+	}
+	if refused := r.checkQuarantine(attempts); refused != nil {
+		grant.Release()
+		return nil, refused
+	}
+	return grant, nil
+}
+
 // recordFailure records a failed attempt with the dispatcher and returns the refusal to send
 // to the client if no other attempt follows.
 func (r *request) recordFailure(grant *dispatch.Grant, failed *failure, lastRefusal *refusal) *refusal {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -1,10 +1,15 @@
 package gateway
 
 import (
+	"time"
+
+	"github.com/mimosaward/mimosaward/internal/dispatch"
 	"github.com/mimosaward/mimosaward/internal/event"
 	"github.com/mimosaward/mimosaward/internal/quarantine"
 )
 
+const reasonQuarantined = dispatch.Reason("promptQuarantined")
+
 // newQuarantine returns the quarantine of prompt parts, which logs its decisions.
 func (g *Gateway) newQuarantine() *quarantine.Quarantine {
 	return &quarantine.Quarantine{
@@ -34,3 +39,17 @@
 		"endpoints": endpoints, "reporters": reporters, "agesMs": ages,
 	})
 }
+
+// checkQuarantine returns a refusal if the request has a rejected prompt part. A request
+// that is a trial of such a part is sent once.
+func (r *request) checkQuarantine(attempts int) *refusal {
+	if r.isTrial && attempts == 0 {
+		return nil
+	}
+	_, remaining, trial := r.gateway.quarantine.Rejected(r.clientRequest.Inference.SharedParts, time.Now())
+	if remaining > 0 {
+		return notExecuted(reasonQuarantined, remaining)
+	}
+	r.isTrial = trial
+	return nil
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -29,6 +29,8 @@
 	arrived       time.Time
 	// isRetry is true if the client appears to retry after a refusal.
 	isRetry bool
+	// isTrial is true if the request is a trial of a rejected prompt part.
+	isTrial bool
 	// deadline is when the client's timeout or the route's timeout expires.
 	deadline time.Time
 	// ctx is canceled when the client disconnects or the request ends.
--- a/internal/integration/poison_test.go
+++ b/internal/integration/poison_test.go
@@ -127,6 +127,11 @@
 				callers.group.Stop()
 				callers.group.Wait()
 				i.requirePartStopped(poisonousPart)
+				for zone := range zoneCount {
+					if rejected := i.metric(gatewayName(zone), "mimosaward_gateway_rejected_parts"); rejected != 1 {
+						t.Errorf("%s rejects %v parts, want only the poisonous one", gatewayName(zone), rejected)
+					}
+				}
 				crashes := i.crashes()
 				if len(crashes) == 0 {
 					t.Fatal("no engine crashed")
@@ -159,3 +164,19 @@
 		i.t.Errorf("%d requests with part %s reached engines later than %s after crash %d, %d engines crashed; want %d at most", late, part, contact, crashesToLearn, len(crashes), maxSentAfterContact)
 	}
 }
+
+// metric returns the value of a gauge of a gateway.
+func (i *installation) metric(gateway, name string) float64 {
+	i.t.Helper()
+	families, err := i.metrics[gateway].Gather()
+	if err != nil {
+		i.t.Fatal(err)
+	}
+	for _, family := range families {
+		if family.GetName() == name {
+			return family.GetMetric()[0].GetGauge().GetValue()
+		}
+	}
+	i.t.Fatalf("no metric %s", name)
+	return 0
+}
