gateway: suspect a crash behind streams that end with their connection

A stream may come with neither a length nor chunks. The end of its engine then looks like the regular end of the stream, so the crash counted as an answer and cleared the part. Such an end soon after the first event is now examined like a broken connection; it no longer clears the parts.

The new case of TestPoisonousPromptPartStopsReachingEngines failed with 89 requests with the part later than 3 s after the fifth crash and no part rejected; all three cases pass.

--- a/internal/connpool/exchange.go
+++ b/internal/connpool/exchange.go
@@ -109,6 +109,12 @@
 // Header returns the response header.
 func (e *Exchange) Header() *fasthttp.ResponseHeader { return &e.response.Header }
 
+// Framed reports whether the body has a length or chunks. The end of any other one is the
+// end of its connection, which may also be that of the endpoint.
+func (e *Exchange) Framed() bool {
+	return e.response.Header.ContentLength() != contentLengthUntilClose
+}
+
 // Skipped returns the number of skipped responses to other requests.
 func (e *Exchange) Skipped() int { return e.skipped }
 
@@ -133,7 +139,7 @@
 // must not carry another request. idleTimeout is the endpoint's idle timeout for the
 // connection; 0 means that the endpoint did not send one.
 func (e *Exchange) Finish(reuse bool, idleTimeout time.Duration) {
-	framed := e.response.Header.ContentLength() != contentLengthUntilClose
+	framed := e.Framed()
 	e.release()
 	if !reuse || !framed || e.skipped > 0 {
 		_ = e.conn.Close()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -79,13 +79,14 @@
 func (s *streamRelay) accept(event eventstream.Event, err error) {
 	s.pending, s.err = event.Raw, err
 	early := time.Since(s.firstEventAt) <= earlyPhase
+	broken := err != nil && (!errors.Is(err, io.EOF) || !s.attempt.exchange.Framed())
 	switch {
 	case s.answered:
-	case errors.Is(err, io.EOF), err == nil && !early:
+	case broken && early:
+		s.request.suspectCrash(s.attempt.grant.Endpoint, phaseEarly, err)
+	case !broken && (err != nil || !early):
 		s.answered = true
 		s.request.recordAnswered()
-	case err != nil && early:
-		s.request.suspectCrash(s.attempt.grant.Endpoint, phaseEarly, err)
 	}
 }
 
--- a/internal/integration/poison_test.go
+++ b/internal/integration/poison_test.go
@@ -105,7 +105,11 @@
 // Guards against a prompt part that ends one engine after the other: requests with the part
 // came at every gateway, and each gateway sent them to the next engine.
 func TestPoisonousPromptPartStopsReachingEngines(t *testing.T) {
-	for name, events := range map[string]int{"crash before the first event": 0, "crash after the first event": 1} {
+	for name, faults := range map[string]platformtest.EndpointFaults{
+		"crash before the first event":                                     {CrashOnPart: poisonousPart},
+		"crash after the first event":                                      {CrashOnPart: poisonousPart, EventsBeforeCrash: 1},
+		"crash after the first event of streams that end with connections": {CrashOnPart: poisonousPart, EventsBeforeCrash: 1, Unframed: true},
+	} {
 		t.Run(name, func(t *testing.T) {
 			withInstallation(t, func(i *installation) {
 				callers := &poisonCallers{installation: i, group: concurrency.NewGroup(context.Background())}
@@ -116,7 +120,7 @@
 				}
 				time.Sleep(10 * time.Second)
 				onset := time.Now()
-				i.setFaults("drafts", platformtest.EndpointFaults{CrashOnPart: poisonousPart, EventsBeforeCrash: events})
+				i.setFaults("drafts", faults)
 				for zone := range zoneCount {
 					callers.send(zone, "poisonous", time.Second, func(index int) []string {
 						return []string{"first", poisonousPart, fmt.Sprint("subject-", index%7)}
