gateway: do not pass on a stream that ended with its engine as complete

If an engine ended before the first event of a stream that ends with its connection, the caller got an empty response with status 200 that looked complete. Such a stream has no event and is now refused with 502, as one that broke. TestStreamThatEndsBeforeItsFirstEventIsBroken failed with 200.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -28,7 +28,7 @@
 	relay := &streamRelay{request: r, attempt: a}
 	relay.events = eventstream.Reader{Read: relay.readUpstream}
 	event, err := relay.events.Next()
-	if err != nil && !errors.Is(err, io.EOF) {
+	if err != nil && (!errors.Is(err, io.EOF) || !a.exchange.Framed()) {
 		r.suspectCrash(a.grant.Endpoint, phaseFirstEvent, err)
 		_ = relay.Close()
 		r.refuse(possiblyExecuted("streamBroken"))
--- a/internal/integration/poison_test.go
+++ b/internal/integration/poison_test.go
@@ -184,3 +184,16 @@
 	i.t.Fatalf("no metric %s", name)
 	return 0
 }
+
+// Guards against an empty response that looks complete: the engine ended before the first
+// event of a stream that ends with its connection.
+func TestStreamThatEndsBeforeItsFirstEventIsBroken(t *testing.T) {
+	withInstallation(t, func(i *installation) {
+		i.setFaults("drafts", platformtest.EndpointFaults{CrashOnPart: poisonousPart, Unframed: true})
+		call := i.chatCall(0)
+		call.PromptParts = []string{poisonousPart}
+		if response := i.do(call); response.Status != 502 {
+			t.Errorf("response %+v, want status 502", response)
+		}
+	})
+}
