quarantine: bound the parts of a digest

When many engines end at once, the suspected parts of all their requests were in each digest for 10 s. A digest now carries 512 parts at most, of the crashes about which something was learned last. Only a successful response clears the parts of a request without streaming.

--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -40,6 +40,8 @@
 		a.grant.Record(dispatch.Errored)
 	} else {
 		a.grant.Record(dispatch.Responded)
+	}
+	if a.response.Status < fasthttp.StatusMultipleChoices {
 		r.recordAnswered()
 	}
 	platform.CopyResponseHeader(&r.httpCtx.Response.Header, a.exchange.Header())
--- a/internal/quarantine/crash.go
+++ b/internal/quarantine/crash.go
@@ -29,9 +29,11 @@
 // crash is a known crash. Parts maps each part to whether it was cleared; a cleared part
 // stays cleared, so that gateways agree in whichever order they learn of it.
 type crash struct {
-	at       time.Time
-	reporter string
-	parts    map[string]bool
+	at time.Time
+	// changedAt is when this gateway last learned something about the crash.
+	changedAt time.Time
+	reporter  string
+	parts     map[string]bool
 }
 
 // suspect adds a part and reports whether it was unknown.
--- a/internal/quarantine/digest.go
+++ b/internal/quarantine/digest.go
@@ -1,9 +1,20 @@
 package quarantine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// maxSharedRejections limits the rejections in a digest to those that end last.
-const maxSharedRejections = 64
+const (
+	// shareTime is how long a crash is part of digests after something was learned about
+	// it. It spans several digests and reports.
+	shareTime = 10 * time.Second
+	// maxSharedParts limits the parts of all crashes in a digest. The crashes about which
+	// something was learned last come first.
+	maxSharedParts = 512
+	// maxSharedRejections limits the rejections in a digest to those that end last.
+	maxSharedRejections = 64
+)
 
 // Digest is what a gateway tells others about crashes and rejections.
 type Digest struct {
@@ -30,11 +41,21 @@
 	defer q.mu.Unlock()
 	q.decide(now)
 	digest := Digest{Rejections: q.describeRejections(now)}
+	var shared []crashKey
 	for key, known := range q.crashes {
-		if now.Sub(known.at) <= shareTime && !q.explained(known) {
-			digest.Crashes = append(digest.Crashes, known.describe(key, now))
+		if now.Sub(known.changedAt) <= shareTime && !q.explained(known) {
+			shared = append(shared, key)
 		}
 	}
+	slices.SortFunc(shared, func(a, b crashKey) int { return q.crashes[b].changedAt.Compare(q.crashes[a].changedAt) })
+	parts := 0
+	for _, key := range shared {
+		known := q.crashes[key]
+		if parts += len(known.parts); parts > maxSharedParts {
+			break
+		}
+		digest.Crashes = append(digest.Crashes, known.describe(key, now))
+	}
 	return digest
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -22,8 +22,6 @@
 	settleTime = 700 * time.Millisecond
 	// crashWindow is how long a crash counts.
 	crashWindow = 3 * time.Minute
-	// shareTime is how long a crash is part of digests.
-	shareTime = 10 * time.Second
 	// maxCrashes and maxRejections limit the memory; the oldest ones are dropped first.
 	maxCrashes    = 256
 	maxRejections = 1024
@@ -91,7 +89,9 @@
 	for _, part := range parts {
 		q.answered.record(part, now)
 		for _, known := range q.crashes {
-			changed = known.clear(part) || changed
+			if known.clear(part) {
+				known.changedAt, changed = now, true
+			}
 		}
 		if existing := q.rejections[part]; existing != nil && !existing.lifted {
 			q.lift(part, existing, now)
@@ -218,7 +218,7 @@
 		changed = known.clear(part) || changed
 	}
 	if changed {
-		q.decideAt = now
+		known.changedAt, q.decideAt = now, now
 	}
 	return changed
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -231,8 +231,11 @@
 		}
 		q.RecordCrash(crashOf(engine, parts...), c.now)
 	}
-	digest := q.Digest(c.now)
-	if len(digest.Crashes) > 256 || len(digest.Crashes[0].Parts) > 96 {
-		t.Errorf("digest with %d crashes of %d parts", len(digest.Crashes), len(digest.Crashes[0].Parts))
+	parts := 0
+	for _, crash := range q.Digest(c.now).Crashes {
+		parts += len(crash.Parts)
+	}
+	if parts == 0 || parts > 512 {
+		t.Errorf("digest with %d parts, want 512 at most", parts)
 	}
 }
