integration: test that other faults of engines reject no part

Engines crash one after the other and all at once in a zone, and one breaks off streams, while callers use few subjects and short sessions. No gateway may reject a part.

--- a/internal/integration/poison_test.go
+++ b/internal/integration/poison_test.go
@@ -169,7 +169,7 @@
 	}
 }
 
-// metric returns the value of a gauge of a gateway.
+// metric returns the value of a gauge or counter of a gateway.
 func (i *installation) metric(gateway, name string) float64 {
 	i.t.Helper()
 	families, err := i.metrics[gateway].Gather()
@@ -178,7 +178,8 @@
 	}
 	for _, family := range families {
 		if family.GetName() == name {
-			return family.GetMetric()[0].GetGauge().GetValue()
+			metric := family.GetMetric()[0]
+			return metric.GetGauge().GetValue() + metric.GetCounter().GetValue()
 		}
 	}
 	i.t.Fatalf("no metric %s", name)
@@ -197,3 +198,38 @@
 		}
 	})
 }
+
+// Guards against a sound prompt part that is refused because engines fail for other reasons:
+// they crash one after the other, all at once in a zone, or break off streams.
+func TestOtherFaultsOfEnginesRejectNoPart(t *testing.T) {
+	withInstallation(t, func(i *installation) {
+		callers := &poisonCallers{installation: i, group: concurrency.NewGroup(context.Background())}
+		for zone := range zoneCount {
+			callers.send(zone, "sound", 150*time.Millisecond, func(index int) []string {
+				return []string{"first", fmt.Sprint("subject-", index%20), fmt.Sprint("session-", zone, "-", index/4)}
+			})
+		}
+		i.endpoints[engineName(2, 0)].SetFaults(platformtest.EndpointFaults{TruncateStreams: true})
+		for round := range 15 {
+			time.Sleep(2 * time.Second)
+			zone := round % 2
+			i.endpoints[engineName(zone, round/2%2)].Crash()
+			if round%5 == 4 {
+				i.endpoints[engineName(zone, 0)].Crash()
+				i.endpoints[engineName(zone, 1)].Crash()
+			}
+		}
+		callers.group.Stop()
+		callers.group.Wait()
+		confirmed := 0.0
+		for zone := range zoneCount {
+			confirmed += i.metric(gatewayName(zone), "mimosaward_gateway_confirmed_crashes_total")
+			if rejected := i.metric(gatewayName(zone), "mimosaward_gateway_rejected_parts"); rejected != 0 {
+				t.Errorf("%s rejects %v parts, want none", gatewayName(zone), rejected)
+			}
+		}
+		if confirmed < 5 {
+			t.Errorf("%v crashes confirmed, want several", confirmed)
+		}
+	})
+}
