peering: space out news to other cells

News of crashes went to the other cells up to 20 times a second while there was much of it, with the whole report, also over thin links between regions.

ok internal/peering 53.8 s, with the race detector.

--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -195,24 +195,24 @@
 		if urgent || p.Self.Name < name || p.Table.SinceLastDigest(name) > callTakeoverIntervals*period {
 			p.exchange(ctx, member.Control, round%digestsPerMemberList == 0, round%digestsPerReport == 0)
 		}
-		urgent = waitForNews(ctx, period, news)
+		urgent = waitForNews(ctx, period, news, cellNewsDelay)
 	}
 }
 
-// newsDelay is the delay before news is passed on, which limits the number of messages if
-// there is much.
-const newsDelay = 50 * time.Millisecond
+// cellNewsDelay is the delay before news is passed on in the cell, which limits the number
+// of digests if there is much.
+const cellNewsDelay = 50 * time.Millisecond
 
 // waitForNews waits for the next tick of an interval. If there is news earlier, it returns
-// true after newsDelay.
-func waitForNews(ctx context.Context, interval time.Duration, news <-chan struct{}) bool {
+// true after a delay.
+func waitForNews(ctx context.Context, interval time.Duration, news <-chan struct{}, delay time.Duration) bool {
 	timer := time.NewTimer(concurrency.UntilTick(interval))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-ctx.Done():
 	case <-news:
-		return concurrency.Sleep(ctx, newsDelay)
+		return concurrency.Sleep(ctx, delay)
 	}
 	return false
 }
--- a/internal/peering/reportexchange.go
+++ b/internal/peering/reportexchange.go
@@ -17,6 +17,9 @@
 	// roundsPerRemoteReport is the number of intervals between reports to a cell in
 	// another region, whose link has a low bandwidth.
 	roundsPerRemoteReport = 3
+	// reportNewsDelay is the delay before news is passed on to other cells. Cells in another
+	// region get news at most every reportInterval.
+	reportNewsDelay = 150 * time.Millisecond
 	// digestsPerReport is the number of digests per digest that passes on the reports of
 	// other cells.
 	digestsPerReport = 2
@@ -32,16 +35,20 @@
 // until ctx is done.
 func (p *Peering) exchangeReports(ctx context.Context) {
 	excludedUntil := map[string]time.Time{}
-	news := p.News()
+	news, remoteNews, lastRemote := p.News(), false, time.Time{}
 	for round := 0; ctx.Err() == nil; round++ {
-		urgent := waitForNews(ctx, reportInterval, news)
+		remoteNews = waitForNews(ctx, reportInterval, news, reportNewsDelay) || remoteNews
 		news = p.News()
+		remoteDue := round%roundsPerRemoteReport == 0 || (remoteNews && time.Since(lastRemote) >= reportInterval)
+		if remoteDue {
+			remoteNews, lastRemote = false, time.Now()
+		}
 		cells := p.Table.Cells()
 		group := concurrency.NewGroup(ctx)
 		failed := make(chan string, len(cells.Names()))
 		for _, cell := range cells.Names() {
 			remote := cells.Members(cell)[0].Region != p.Self.Region
-			if cell == cells.Of(p.Self.Name) || (remote && !urgent && round%roundsPerRemoteReport != 0) || !p.isDelegate(cell) {
+			if cell == cells.Of(p.Self.Name) || (remote && !remoteDue) || !p.isDelegate(cell) {
 				continue
 			}
 			if partner, ok := choosePartner(p.Self.Name, cells.Members(cell), excludedUntil); ok {
