--- a/internal/gateway/enginecrash.go
+++ b/internal/gateway/enginecrash.go
@@ -27,9 +27,9 @@
 // end of its engine. A prompt that crashes engines does so within a few tokens.
 const earlyPhase = 250 * time.Millisecond
 
-// probeDelays are the delays before each attempt to connect to an engine whose connection
-// broke. An engine that ended refuses.
-var probeDelays = []time.Duration{20 * time.Millisecond, 250 * time.Millisecond}
+// probeDelay is the delay before the attempt to connect to an engine whose connection broke.
+// An engine that ended refuses by then, and for some time.
+const probeDelay = 50 * time.Millisecond
 
 // engineStart identifies a start of an engine.
 type engineStart struct {
@@ -78,10 +78,7 @@
 
 // confirm reports the crash of an endpoint at a time if the endpoint refuses connections.
 func (d *crashDetector) confirm(ctx context.Context, endpoint clusterstate.Endpoint, at time.Time) {
-	ended := false
-	for _, delay := range probeDelays {
-		ended = ended || (concurrency.Sleep(ctx, delay) && d.refuses(ctx, endpoint.Address))
-	}
+	ended := concurrency.Sleep(ctx, probeDelay) && d.refuses(ctx, endpoint.Address)
 	d.mu.Lock()
 	start := engineStart{endpoint: endpoint.ID, incarnation: endpoint.Incarnation}
 	parts := d.suspected[start]
