--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -31,6 +31,7 @@
 		a.discard()
 		if r.ctx.Err() == nil || r.endpointHung() {
 			a.grant.Record(dispatch.Failed)
+			r.suspectCrash(a.grant.Endpoint, phaseUnanswered, err)
 		}
 		r.refuse(possiblyExecuted("answerBroken"))
 		return
@@ -40,6 +41,9 @@
 	} else {
 		a.grant.Record(dispatch.Responded)
 	}
+	if a.response.Status < fasthttp.StatusMultipleChoices {
+		r.recordAnswered()
+	}
 	platform.CopyResponseHeader(&r.httpCtx.Response.Header, a.exchange.Header())
 	r.httpCtx.Response.SetBody(body)
 	r.logEnded(a.response.Status, time.Since(r.arrived), nil)
@@ -52,10 +56,10 @@
 func (r *request) sendWithRetries(job *dispatch.Job) (*attempt, *refusal) {
 	lastRefusal := notExecuted(dispatch.NoEndpoint, defaultRetryAfter)
 	for attempts, unsent := 0, 0; ; {
-		grant, refused := r.gateway.federation.Acquire(r.ctx, job)
+		grant, refused := r.acquire(job, attempts)
 		if refused != nil {
 			if attempts == 0 {
-				lastRefusal = notExecuted(refused.Reason, refused.RetryAfter)
+				lastRefusal = refused
 			}
 			return nil, lastRefusal
 		}
@@ -94,6 +98,23 @@
 	}
 }
 
+// acquire waits for an endpoint for the job. A request with a rejected prompt part is
+// refused, also if the part became rejected while the job waited.
+func (r *request) acquire(job *dispatch.Job, attempts int) (*dispatch.Grant, *refusal) {
+	if refused := r.checkQuarantine(attempts); refused != nil {
+		return nil, refused
+	}
+	grant, refused := r.gateway.federation.Acquire(r.ctx, job)
+	if refused != nil {
+		return nil, notExecuted(refused.Reason, refused.RetryAfter)
+	}
+	if refused := r.checkQuarantine(attempts); refused != nil {
+		grant.Release()
+		return nil, refused
+	}
+	return grant, nil
+}
+
 // recordFailure records a failed attempt with the dispatcher and returns the refusal to send
 // to the client if no other attempt follows.
 func (r *request) recordFailure(grant *dispatch.Grant, failed *failure, lastRefusal *refusal) *refusal {
@@ -108,6 +129,7 @@
 		return lastRefusal
 	case failed.mayHaveRun:
 		grant.Record(dispatch.Failed)
+		r.suspectCrash(grant.Endpoint, phaseUnanswered, failed.err)
 		return possiblyExecuted("endpointFailed")
 	case failed.misdirected:
 		grant.Record(dispatch.Misdirected)
