lifecycle: soak of the real programs around stops, signals and configuration

Callers reported accepted requests that were lost around planned stops, SIGHUP and configuration changes. The tests so far run gateways in one process with virtual time, where neither signals nor the exit of a process exist. TestProcessSoak builds the gateway and the loader, with the race detector if the test has it, and runs three gateways and two loaders on loopback addresses with the fakes of the platform. Callers follow the directory's responses for up to three TTLs or hold connections until the process is gone, send quick and slow calls, streams and bodies in pieces, read slowly, and leave. Events drawn from the seed overlap: restarts of one, two and all gateways, second and repeated SIGTERM, SIGTERM and SIGHUP during start and stop, changed settings, rollouts and changes of the desired state. It fails if a request that was read gets no complete response, unless its time has passed or its endpoint was still at work at the end of the grace period; also if one runs twice, or though the response says that it did not run, and if a process ends by itself, exits late, with another status or without its last lines, or writes to standard error. make process-soak runs it with a seed and a duration; with FAULTS=true processes are also killed, endpoints drop responses and gateways have no free file descriptor, and requests may be lost.

--- a/Makefile
+++ b/Makefile
@@ -7,8 +7,10 @@
 SITE ?= tegaki
 SEED ?= 1
 STEPS ?= 2000
+DURATION ?= 1m
+FAULTS ?= false
 
-.PHONY: build demo test lint unit rename bench soak capacity docs
+.PHONY: build demo test lint unit rename bench soak process-soak capacity docs
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -61,6 +63,11 @@
 soak:
 	go test -race ./internal/system -count=1 -timeout 120m -v -run TestSoak -args -seed $(SEED) -steps $(STEPS)
 
+# Runs the randomized test of the real programs: make process-soak SEED=7 DURATION=5m
+# With FAULTS=true, processes are also killed and endpoints fail.
+process-soak:
+	go test -race ./internal/lifecycle -count=1 -timeout 120m -v -run TestProcessSoak -args -seed $(SEED) -duration $(DURATION) -faults=$(FAULTS)
+
 # Generates docs/CAPACITY.md from docs/measurements.jsonl, which contains the output of
 # make bench.
 capacity:
