--- a/internal/lifecycle/build_test.go
+++ b/internal/lifecycle/build_test.go
@@ -10,22 +10,22 @@
 	"github.com/cockroachdb/errors"
 )
 
-// binaries is the directory of the built programs.
-var binaries = sync.OnceValues(buildBinaries)
+var (
+	// binaries returns the directory of the programs, which it builds at the first call.
+	binaries = sync.OnceValues(buildBinaries)
+	// binariesDirectory is set before the tests run.
+	binariesDirectory string
+)
 
 // buildBinaries builds the programs, with the race detector if the test has it.
 func buildBinaries() (string, error) {
-	directory, err := os.MkdirTemp("", "lifecycle-bin-")
-	if err != nil {
-		return "", err
-	}
-	args := []string{"build", "-o", directory + "/"}
+	args := []string{"build", "-o", binariesDirectory}
 	if raceEnabled() {
 		args = append(args, "-race")
 	}
 	const commands = "github.com/mimosaward/mimosaward/cmd/mimosaward-"
 	output, err := exec.Command("go", append(args, commands+"gateway", commands+"loader")...).CombinedOutput()
-	return directory, errors.Wrapf(err, "build: %s", output)
+	return binariesDirectory, errors.Wrapf(err, "build: %s", output)
 }
 
 func raceEnabled() bool {
@@ -39,9 +39,10 @@
 }
 
 func TestMain(m *testing.M) {
+	parent, err := os.MkdirTemp("", "lifecycle-bin-")
+	must(err)
+	binariesDirectory = parent + "/"
 	status := m.Run()
-	if directory, err := binaries(); err == nil {
-		_ = os.RemoveAll(directory)
-	}
+	_ = os.RemoveAll(parent)
 	os.Exit(status)
 }
