--- a/internal/lifecycle/caller_test.go
+++ b/internal/lifecycle/caller_test.go
@@ -131,6 +131,10 @@
 	if conn.reader.Buffered() > 0 {
 		c.ledger.addFinding("bytes on an idle connection to %s", conn.process.output)
 	}
+	if next.key != "" && c.random.IntN(8) == 0 {
+		key, removable := c.site.key()
+		next.key, next.optional = key, next.optional || removable
+	}
 	c.ledger.addAttempt(conn.do(next))
 	if !conn.closed {
 		c.connections[d] = append(c.connections[d], conn)
