--- a/internal/lifecycle/scenario_test.go
+++ b/internal/lifecycle/scenario_test.go
@@ -24,8 +24,9 @@
 	keys        int
 	version     int64
 
-	mu  sync.Mutex
-	log []string
+	mu     sync.Mutex
+	log    []string
+	counts map[string]int
 }
 
 // event is a random event. The random numbers are those of the event, since events overlap.
@@ -65,7 +66,7 @@
 
 // run performs events until the duration has passed and waits for their end.
 func (s *scenario) run(duration time.Duration) {
-	s.started, s.overlapping = time.Now(), concurrency.NewGroup(context.Background())
+	s.started, s.overlapping, s.counts = time.Now(), concurrency.NewGroup(context.Background()), map[string]int{}
 	events, total := s.events(), 0
 	for _, candidate := range events {
 		total += candidate.weight
@@ -77,12 +78,13 @@
 		}
 		random := rand.New(rand.NewPCG(s.random.Uint64(), 1))
 		s.record("%s", events[index].name)
-		if s.random.IntN(4) == 0 {
+		s.counts[events[index].name]++
+		if s.random.IntN(8) == 0 {
 			events[index].do(random)
 		} else {
 			s.overlapping.Go(func(context.Context) { events[index].do(random) })
 		}
-		time.Sleep(between(s.random, 50*time.Millisecond, 1500*time.Millisecond))
+		time.Sleep(between(s.random, 50*time.Millisecond, time.Second))
 	}
 	s.overlapping.Wait()
 }
--- a/internal/lifecycle/soak_test.go
+++ b/internal/lifecycle/soak_test.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -53,7 +52,8 @@
 	callers.Wait()
 	s.close()
 	findings := records.judge(s)
-	t.Logf("seed %d, %s, faults %t: %d attempts: %v", *soakSeed, *soakDuration, *soakFaults, len(records.attempts), fmt.Sprint(records.counts))
+	t.Logf("seed %d, %s, faults %t: %d attempts: %v", *soakSeed, *soakDuration, *soakFaults, len(records.attempts), records.counts)
+	t.Logf("events: %v", events.counts)
 	for _, finding := range findings[:min(len(findings), maxListed)] {
 		t.Error(finding)
 	}
