cli: keep ignoring further stop signals until the process exits

What the platform saw: a process that received SIGTERM again between the end of its drain and its exit ended with "signal: terminated" instead of status 0, sometimes without its last log lines. No request was lost. Cause: the receiver of SIGTERM was given up before the log was flushed. Change: it is never given up.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -6,9 +6,7 @@
 	"context"
 	"fmt"
 	"io"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
@@ -90,8 +88,7 @@
 	if err != nil {
 		return Fail(streams, err)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	ctx := stopSignal()
 	if err := d.Run(ctx, log); err != nil {
 		return Fail(streams, err)
 	}
--- a/internal/cli/platformdaemon.go
+++ b/internal/cli/platformdaemon.go
@@ -6,9 +6,7 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -102,8 +100,7 @@
 	logWriter := concurrency.NewGroup(context.Background())
 	logWriter.Go(log.Run)
 	defer flushLog(logWriter)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	ctx := stopSignal()
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector())
 	watcher := &settingsWatcher{file: options.Settings, log: log, hangups: hangups, changed: make(chan deployment.Deployment, 1), last: loaded}
--- a/internal/cli/signals.go
+++ b/internal/cli/signals.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"context"
 	"os"
 	"os/signal"
 	"syscall"
@@ -16,3 +17,10 @@
 	signal.Notify(hangups, syscall.SIGHUP)
 	return hangups
 }
+
+// stopSignal returns a context that is canceled by SIGTERM or SIGINT. Further ones have no
+// effect until the process exits: the receiver is never given up.
+func stopSignal() context.Context {
+	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	return ctx
+}
