dispatch: refuse the job of a caller that left while another cell was asked

What callers saw: on a large fleet, gateways ended by themselves with 'invalid memory address or nil pointer dereference' in sendWithRetries, and every request in flight at them got no answer.

In the same window a grant that arrived late was handed to a request that nobody waits for, and the lender was excluded for a second or counted as full, although only the caller had left.

--- a/internal/dispatch/federation.go
+++ b/internal/dispatch/federation.go
@@ -34,7 +34,8 @@
 	// Remotes returns the latest reports on the live gateways of other cells.
 	Remotes func() []peering.Peer
 	// AcquireRemote asks a gateway of another cell for an endpoint. It returns an error if
-	// the gateway did not respond.
+	// the gateway did not respond. Once ctx is done, its results matter only in that a
+	// grant is released.
 	AcquireRemote func(ctx context.Context, lender peering.Member, job *Job) (*Grant, *Refusal, error)
 
 	mu      sync.Mutex
@@ -71,7 +72,15 @@
 		if !ok || (refusal == nil && (attempt > 0 || lender.predicted+f.margin(lender.member) >= local)) {
 			break
 		}
+		asked := time.Now()
 		grant, remoteRefusal, err := f.AcquireRemote(ctx, lender.member, job)
+		if ctx.Err() != nil {
+			// The answer, if there is one, says nothing about the lender.
+			if grant != nil {
+				grant.Release()
+			}
+			return nil, &Refusal{Reason: ClientDisconnected, RetryAfter: overloadedRetryAfter, QueueTime: time.Since(asked)}
+		}
 		f.recordAnswer(lender.member, grant != nil, err)
 		if grant != nil {
 			return grant, nil
@@ -80,7 +89,7 @@
 			refusal = remoteRefusal
 		}
 	}
-	if refusal != nil && refusal.Reason == NoEndpoint || ctx.Err() != nil {
+	if refusal != nil && refusal.Reason == NoEndpoint {
 		return nil, refusal
 	}
 	return f.Local.AwaitEndpoint(ctx, job)
