gateway: give a grant back that arrives after its caller left

What callers saw: capacity that nobody used. A caller that left while its gateway asked another cell ended the call; the lender's answer was dropped and the lender counted the request until its deadline, seconds later. The call was ended by closing the connection to the lender, which failed the requests of other callers that waited on it (closed pipe).

Change: the call to the lender belongs to the gateway, not to the caller. The caller's request returns at once; a grant that arrives later is released at the lender.

--- a/internal/gateway/borrow.go
+++ b/internal/gateway/borrow.go
@@ -26,27 +26,58 @@
 // remotePeers returns the latest reports on the live gateways of other cells.
 func (g *Gateway) remotePeers() []peering.Peer { return g.peerTable.RemotePeers() }
 
-// acquireRemote asks a gateway of another cell for an endpoint for the job.
+// remoteAnswer is the answer of a gateway of another cell.
+type remoteAnswer struct {
+	grant   *dispatch.Grant
+	refusal *dispatch.Refusal
+	err     error
+}
+
+// acquireRemote asks a gateway of another cell for an endpoint for the job. The call goes on
+// if the caller leaves, for two reasons: a grant that arrives later must be released at the
+// lender, and to end a call is to close the connection, which other requests share.
 func (g *Gateway) acquireRemote(ctx context.Context, lender peering.Member, job *dispatch.Job) (*dispatch.Grant, *dispatch.Refusal, error) {
 	now := time.Now()
 	args := AcquireArgs{Gateway: g.self.Name, Job: *job, UntilDeadline: job.Deadline.Sub(now), UntilTarget: job.TargetTime.Sub(now)}
+	answers := make(chan remoteAnswer)
+	g.tasks.Go(func(taskCtx context.Context) {
+		answer := g.callLender(taskCtx, lender, &args)
+		select {
+		case answers <- answer:
+		case <-ctx.Done():
+			if answer.grant != nil {
+				answer.grant.Release()
+			}
+		}
+	})
+	select {
+	case answer := <-answers:
+		return answer.grant, answer.refusal, answer.err
+	case <-ctx.Done():
+		return nil, &dispatch.Refusal{Reason: dispatch.ClientDisconnected, QueueTime: time.Since(now)}, nil
+	}
+}
+
+// callLender calls a gateway of another cell.
+func (g *Gateway) callLender(ctx context.Context, lender peering.Member, args *AcquireArgs) remoteAnswer {
+	start := time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, lendTimeout+lendMargin)
 	defer cancel()
 	var reply AcquireReply
-	if err := g.controlClient.Call(callCtx, lender.Control, acquireMethod, &args, &reply); err != nil {
-		g.Log.Emit(event.LenderUnreachable, event.Fields{"request": job.ID, "gateway": lender.Name, "afterMs": time.Since(now).Milliseconds(), "error": err.Error()})
-		return nil, nil, err
+	if err := g.controlClient.Call(callCtx, lender.Control, acquireMethod, args, &reply); err != nil {
+		g.Log.Emit(event.LenderUnreachable, event.Fields{"request": args.Job.ID, "gateway": lender.Name, "afterMs": time.Since(start).Milliseconds(), "error": err.Error()})
+		return remoteAnswer{err: err}
 	}
 	if reply.GrantID == 0 {
-		return nil, &reply.Refusal, nil
+		return remoteAnswer{refusal: &reply.Refusal}
 	}
 	decision := reply.Decision
 	decision.Lender, decision.Owned = lender.Name, false
-	return dispatch.NewRemoteGrant(reply.Endpoint, reply.Version, decision, func(outcome dispatch.Outcome) {
+	return remoteAnswer{grant: dispatch.NewRemoteGrant(reply.Endpoint, reply.Version, decision, func(outcome dispatch.Outcome) {
 		g.tasks.Go(func(ctx context.Context) {
 			g.reportOutcome(ctx, lender, OutcomeArgs{GrantID: reply.GrantID, Outcome: outcome})
 		})
-	}), nil, nil
+	})}
 }
 
 // reportOutcome reports the outcome of a job to the gateway that granted its endpoint.
--- a/internal/integration/installation_test.go
+++ b/internal/integration/installation_test.go
@@ -148,6 +148,16 @@
 func gatewayHost(zone int) string    { return fmt.Sprintf("10.%d.1.1", zone) }
 func gatewayAddress(zone int) string { return gatewayHost(zone) + ":8005" }
 
+// nameOfGateway and hostOfGateway are for zones with several gateways.
+func nameOfGateway(zone, index int) string {
+	if index == 0 {
+		return gatewayName(zone)
+	}
+	return fmt.Sprintf("%s-%d", gatewayName(zone), index)
+}
+
+func hostOfGateway(zone, index int) string { return fmt.Sprintf("10.%d.1.%d", zone, index+1) }
+
 // serveFake serves a fake of the platform on the address.
 func (i *installation) serveFake(owner, address string, handle fasthttp.RequestHandler) {
 	listener, err := i.network.ForProcess(owner).Listen(address)
@@ -230,12 +240,12 @@
 	return logger
 }
 
-func (i *installation) startGateway(zone int) {
-	name := gatewayName(zone)
-	d := i.deployment(name, gatewayHost(zone), zone)
-	d.Listen = deployment.Listen{
-		Clients: gatewayAddress(zone), Readiness: gatewayHost(zone) + ":8002", Directory: gatewayHost(zone) + ":8009", Control: gatewayHost(zone) + ":8000",
-	}
+func (i *installation) startGateway(zone int) { i.startGatewayAt(zone, 0) }
+
+func (i *installation) startGatewayAt(zone, index int) {
+	name, ip := nameOfGateway(zone, index), hostOfGateway(zone, index)
+	d := i.deployment(name, ip, zone)
+	d.Listen = deployment.Listen{Clients: ip + ":8005", Readiness: ip + ":8002", Directory: ip + ":8009", Control: ip + ":8000"}
 	network := i.network.ForProcess(name)
 	i.metrics[name] = prometheus.NewRegistry()
 	g := &gateway.Gateway{
