dispatch: a decision that panics leaves the dispatcher unlocked

Cause: decide unlocked without defer. Once a panic in one request no longer ends the process, a panic in a decision would have blocked every later request of the gateway.

Test before: the dispatcher is locked after a decision that panicked. After: the next job gets its grant.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -88,19 +88,24 @@
 }
 
 func (d *Dispatcher) decide(ctx context.Context, job *Job) (*Grant, *Refusal) {
-	now := time.Now()
-	d.mu.Lock()
-	service := d.service(job.Service)
-	queued := &queuedJob{job: job, enqueuedAt: now, done: make(chan struct{})}
-	d.admit(service, queued, now)
-	decided := queued.decided()
-	d.mu.Unlock()
+	queued := &queuedJob{job: job, enqueuedAt: time.Now(), done: make(chan struct{})}
+	service, decided := d.tryAdmit(queued)
 	if decided {
 		return queued.grant, queued.refusal
 	}
 	return d.await(ctx, service, queued)
 }
 
+// tryAdmit assigns the job to an endpoint, queues it, or refuses it. It reports whether the
+// job is decided.
+func (d *Dispatcher) tryAdmit(queued *queuedJob) (*serviceState, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	service := d.service(queued.job.Service)
+	d.admit(service, queued, queued.enqueuedAt)
+	return service, queued.decided()
+}
+
 // await waits until the queued job is decided. It removes the job from the queue and
 // returns a refusal if the deadline passes or ctx ends first.
 func (d *Dispatcher) await(ctx context.Context, service *serviceState, queued *queuedJob) (*Grant, *Refusal) {
--- a/internal/dispatch/federation_test.go
+++ b/internal/dispatch/federation_test.go
@@ -80,3 +80,26 @@
 		})
 	}
 }
+
+// Guards against a panic in one decision that leaves the dispatcher locked: every later
+// request of the gateway would wait forever.
+func TestPanicLeavesDispatcherUsable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		federation := newBusyFederation(nil)
+		local := federation.Local
+		service := local.Service
+		local.Service = func(string) (*configuration.Service, bool) { panic("broken") }
+		func() {
+			defer func() { _ = recover() }()
+			local.AwaitEndpoint(t.Context(), newDraftJob(500))
+		}()
+		if !local.mu.TryLock() {
+			t.Fatal("the dispatcher is locked after a decision that panicked")
+		}
+		local.mu.Unlock()
+		local.Service = service
+		if grant, refusal := local.AwaitEndpoint(t.Context(), newDraftJob(500)); grant == nil {
+			t.Errorf("the next job was refused with %v, want a grant", refusal)
+		}
+	})
+}
