gateway: a request that panics fails alone

What callers saw: a fault in the handling of one request ended the gateway, and every other request in flight there got no answer: the HTTP server recovers nothing.

Change: a panic is logged with the request's id and the stack (event 4108) and counted. The request is answered 502 if it may have run and 503 if it certainly did not; its exchange, grant and tracking entry are released. A stream that panics midway ends with an error, so the server aborts it. Calls from other gateways that panic are logged as event 1012.

Tests before (with the recovery disabled): the test binary ends with 'panic: broken'. After: they pass, 3 runs with -race.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -38,6 +38,7 @@
 	ProcessStopped    = Event{1009, logrus.InfoLevel, "process stopped", noAction}
 	SettingsReloaded  = Event{1010, logrus.InfoLevel, "settings reloaded", noAction}
 	SettingsIgnored   = Event{1011, logrus.WarnLevel, "changed settings ignored", "Fix the settings file; the process keeps using the previous settings."}
+	CallPanicked      = Event{1012, logrus.ErrorLevel, "call from another process panicked", "Report a bug with the stack in the record; only that call failed."}
 	InvariantViolated = Event{1006, logrus.ErrorLevel, "invariant violated", "Report a bug with the log of the instance; the operation was refused."}
 )
 
@@ -103,18 +104,19 @@
 	EndpointNotLent    = Event{4106, logrus.InfoLevel, "no endpoint granted to a request of another cell", "Check the reason in the record."}
 	LenderUnreachable  = Event{4107, logrus.WarnLevel, "gateway of another cell does not respond", "If this repeats, check that gateway and the network to it."}
 	AttemptFailed      = Event{4104, logrus.WarnLevel, "endpoint failed to serve a request", "If this repeats for an endpoint, check the endpoint and the network to it."}
+	RequestPanicked    = Event{4108, logrus.ErrorLevel, "request panicked", "Report a bug with the stack in the record; only that request failed."}
 	OutcomeUnknown     = Event{4005, logrus.WarnLevel, "outcome of a non-idempotent request is unknown", "The caller received the outcome; the idempotency key stays claimed. Check whether the service executed the request."}
 )
 
 // Catalogue returns all events in ascending order of their numbers.
 func Catalogue() []Event {
 	return []Event{
-		ProcessStarted, DrainStarted, DrainEnded, DrainTimedOut, ServerFailed, InvariantViolated, RecordsSuppressed, RecordsDropped, ProcessStopped, SettingsReloaded, SettingsIgnored,
+		ProcessStarted, DrainStarted, DrainEnded, DrainTimedOut, ServerFailed, InvariantViolated, RecordsSuppressed, RecordsDropped, ProcessStopped, SettingsReloaded, SettingsIgnored, CallPanicked,
 		TicketsApplied, StoreUnreachable, StoreReachable, ParentChanged, FreshnessLost, FreshnessRestored, TicketUnreadable,
 		ConfigurationApplied, ObjectUnreadable, ZoneEvacuated, ZoneReturned, RolloutRequested,
 		GatewayAlive, GatewayUnresponsive, SnapshotAdopted, SnapshotFailed,
 		RolloutStarted, SetComplete, ChunkCorrupt, PeerExcluded, LoadOrdered, LoadFailed, LoadCompleted, ManifestFailed,
 		ChunkMemoryTooSmall, SwapWaiting, RolloutAbandoned, EngineUnreachable, EngineReachable, GatewaysUnreachable, GatewaysReachable,
-		EndpointCold, ResponseMismatched, StreamResumed, StreamAborted, OutcomeUnknown, LoaderUnreachable, LoaderReachable, RequestSent, RequestEnded, RequestRefused, AttemptFailed, EndpointLent, EndpointNotLent, LenderUnreachable,
+		EndpointCold, ResponseMismatched, StreamResumed, StreamAborted, OutcomeUnknown, LoaderUnreachable, LoaderReachable, RequestSent, RequestEnded, RequestRefused, AttemptFailed, EndpointLent, EndpointNotLent, LenderUnreachable, RequestPanicked,
 	}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -39,22 +39,25 @@
 // newConn is set, it does not reuse an idle connection.
 func (r *request) startAttempt(grant *dispatch.Grant, options platform.ForwardOptions, newConn bool) (*attempt, *failure) {
 	g := r.gateway
+	requestHeader := &fasthttp.RequestHeader{}
+	requestHeader.SetNoDefaultContentType(true)
+	platform.CopyRequestHeader(requestHeader, &r.httpCtx.Request.Header, options)
 	dialCtx, cancel := context.WithTimeout(r.ctx, dialTimeout)
 	conn, err := g.pool.Get(dialCtx, grant.Endpoint.Address, newConn)
 	cancel()
 	if err != nil {
 		return nil, &failure{err: err}
 	}
-	requestHeader := &fasthttp.RequestHeader{}
-	requestHeader.SetNoDefaultContentType(true)
-	platform.CopyRequestHeader(requestHeader, &r.httpCtx.Request.Header, options)
+	ranBefore := r.mayHaveRun
+	r.mayHaveRun = true
 	exchange, err := g.pool.Send(conn, requestHeader, r.httpCtx.Request.Body(), r.deadline)
 	if err != nil {
 		sent := !errors.Is(err, connpool.ErrNotSent)
+		r.mayHaveRun = ranBefore || sent
 		return nil, &failure{sent: sent, mayHaveRun: sent, err: err}
 	}
-	a := &attempt{request: r, grant: grant, exchange: exchange}
-	a.stopAbort = context.AfterFunc(r.ctx, exchange.Abort)
+	a := &attempt{request: r, grant: grant, exchange: exchange, stopAbort: context.AfterFunc(r.ctx, exchange.Abort)}
+	r.attempt = a
 	responseHeader, err := exchange.ReadHeader(r.deadline, !r.httpCtx.IsHead(), func(h *fasthttp.ResponseHeader) bool {
 		return r.ownsResponse(platform.ParseResponseHeader(h))
 	})
@@ -64,6 +67,7 @@
 	}
 	a.response = platform.ParseResponseHeader(responseHeader)
 	if a.response.NotExecuted {
+		r.mayHaveRun = ranBefore
 		a.discard()
 		return nil, &failure{
 			sent: true, misdirected: a.response.Status == fasthttp.StatusMisdirectedRequest,
@@ -87,6 +91,7 @@
 // finish ends an attempt whose response was read completely. The connection may be
 // reused unless the client disconnected.
 func (a *attempt) finish() {
+	a.request.attempt = nil
 	if !a.stopAbort() {
 		a.exchange.Discard()
 		return
@@ -97,6 +102,7 @@
 // discard ends an attempt whose response was not read completely and closes the
 // connection.
 func (a *attempt) discard() {
+	a.request.attempt = nil
 	a.stopAbort()
 	a.exchange.Discard()
 }
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -57,6 +57,7 @@
 			}
 			return nil, lastRefusal
 		}
+		r.grant = grant
 		job.Tried = append(job.Tried, grant.Endpoint.ID)
 		r.logSent(grant, attempts+1)
 		a, failed := r.startAttempt(grant, r.forwardOptions(grant), r.route.Kind == configuration.AtMostOnce)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -118,7 +118,7 @@
 			return errors.Wrapf(err, "listen on %s", address)
 		}
 		defer func() { _ = listener.Close() }()
-		server := newServer(handler)
+		server := newServer(g.containPanics(handler))
 		group.Go(func(context.Context) { serveErrors <- server.Serve(listener) })
 	}
 	g.Log.Emit(event.ProcessStarted, event.Fields{"address": g.Deployment.Listen.Clients})
@@ -164,6 +164,7 @@
 	g.metrics = newGatewayMetrics(g.Registry)
 	g.registerGauges(g.Registry)
 	g.controlServer = controlrpc.NewServer()
+	g.controlServer.OnPanic = g.recordCallPanic
 	if err := g.peering.Register(g.controlServer); err != nil {
 		return nil, err
 	}
@@ -221,6 +222,11 @@
 			c.SetConnectionClose()
 		}
 	}()
+	r.contain(r.serve)
+}
+
+// serve admits the request and serves or refuses it.
+func (r *request) serve() {
 	if refused := r.admit(); refused != nil {
 		r.refuse(refused)
 		r.end()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -21,6 +21,7 @@
 	duration         *prometheus.HistogramVec
 	queueTimes       prometheus.Histogram
 	predictionErrors prometheus.Histogram
+	panics           prometheus.Counter
 }
 
 // Outcomes of requests.
@@ -67,8 +68,11 @@
 			Name: "mimosaward_gateway_prediction_error_seconds", Help: "Time to a stream's first event, less the predicted one.",
 			Buckets: []float64{-0.4, -0.2, -0.1, -0.05, 0, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6},
 		}),
+		panics: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "mimosaward_gateway_panics_total", Help: "Requests, calls and tasks that failed because of a fault in the program.",
+		}),
 	}
-	registry.MustRegister(m.requests, m.refusals, m.attempts, m.timeToFirst, m.duration, m.queueTimes, m.predictionErrors)
+	registry.MustRegister(m.requests, m.refusals, m.attempts, m.timeToFirst, m.duration, m.queueTimes, m.predictionErrors, m.panics)
 	return m
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -10,6 +10,7 @@
 
 	"github.com/mimosaward/mimosaward/internal/clientrequest"
 	"github.com/mimosaward/mimosaward/internal/configuration"
+	"github.com/mimosaward/mimosaward/internal/dispatch"
 	"github.com/mimosaward/mimosaward/platform"
 )
 
@@ -32,6 +33,12 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	conn   net.Conn
+	// grant and attempt are the current ones, which a panic releases.
+	grant   *dispatch.Grant
+	attempt *attempt
+	// mayHaveRun is true from the start of an attempt, unless the endpoint certainly did not
+	// execute the request.
+	mayHaveRun bool
 }
 
 // requestTracker tracks the requests in flight. It is safe for concurrent use.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -75,7 +75,14 @@
 }
 
 // Read implements io.Reader.
-func (s *streamRelay) Read(buffer []byte) (int, error) {
+func (s *streamRelay) Read(buffer []byte) (n int, err error) {
+	defer func() {
+		if value := recover(); value != nil {
+			s.request.gateway.recordPanic(s.request.clientRequest.ID, value)
+			s.pending, s.err = nil, errPanicked
+			n, err = 0, errPanicked
+		}
+	}()
 	for len(s.pending) == 0 {
 		if s.err != nil {
 			return 0, s.err
@@ -83,20 +90,25 @@
 		event, err := s.events.Next()
 		s.pending, s.err = event.Raw, err
 	}
-	n := copy(buffer, s.pending)
+	n = copy(buffer, s.pending)
 	s.pending = s.pending[n:]
 	return n, nil
 }
 
 // Close implements io.Closer; the server calls it once.
 func (s *streamRelay) Close() error {
+	defer func() {
+		if value := recover(); value != nil {
+			s.request.gateway.recordPanic(s.request.clientRequest.ID, value)
+		}
+	}()
+	defer s.request.end()
+	defer s.attempt.grant.Release()
 	if errors.Is(s.err, io.EOF) {
 		s.attempt.finish()
 	} else {
 		s.attempt.discard()
 	}
-	s.attempt.grant.Release()
 	s.request.logEnded(s.attempt.response.Status, s.timeToFirst, s.err)
-	s.request.end()
 	return nil
 }
