--- a/internal/fakes/network.go
+++ b/internal/fakes/network.go
@@ -142,8 +142,8 @@
 		return nil, errConnectionRefused
 	}
 	clientPipe, serverPipe := net.Pipe()
-	client := &connection{Conn: clientPipe, network: n, path: pathOf(name, target.owner), remote: target.owner, control: control}
-	server := &connection{Conn: serverPipe, network: n, path: client.path, remote: name, control: control, peer: client}
+	client := &connection{Conn: clientPipe, network: n, path: pathOf(name, target.owner), remote: target.owner, control: control, done: make(chan struct{})}
+	server := &connection{Conn: serverPipe, network: n, path: client.path, remote: name, control: control, peer: client, done: make(chan struct{})}
 	client.peer = server
 	n.mu.Lock()
 	n.connections[client] = struct{}{}
@@ -159,8 +159,8 @@
 }
 
 // waitUntilUnfrozen blocks until the path is not frozen, and returns an error at
-// the deadline. A zero deadline means no deadline.
-func (n *Network) waitUntilUnfrozen(p path, deadline time.Time) error {
+// the deadline or when done is closed. A zero deadline means no deadline.
+func (n *Network) waitUntilUnfrozen(p path, deadline time.Time, done <-chan struct{}) error {
 	var expired <-chan time.Time
 	if !deadline.IsZero() {
 		timer := time.NewTimer(max(time.Nanosecond, time.Until(deadline)))
@@ -178,6 +178,8 @@
 		case <-changed:
 		case <-expired:
 			return os.ErrDeadlineExceeded
+		case <-done:
+			return net.ErrClosed
 		}
 	}
 }
@@ -230,6 +232,8 @@
 	readDeadline  time.Time
 	writeDeadline time.Time
 	closed        bool
+	// done is closed with the connection.
+	done chan struct{}
 }
 
 // processAddr is the network address of a process, which is its name.
@@ -299,7 +303,7 @@
 func (c *connection) Read(buffer []byte) (int, error) {
 	n, err := c.Conn.Read(buffer)
 	deadline, _ := c.deadlines()
-	if waitErr := c.network.waitUntilUnfrozen(c.path, deadline); waitErr != nil {
+	if waitErr := c.network.waitUntilUnfrozen(c.path, deadline, c.done); waitErr != nil {
 		return 0, waitErr
 	}
 	return n, err
@@ -308,7 +312,7 @@
 // Write implements net.Conn.
 func (c *connection) Write(data []byte) (int, error) {
 	_, deadline := c.deadlines()
-	if err := c.network.waitUntilUnfrozen(c.path, deadline); err != nil {
+	if err := c.network.waitUntilUnfrozen(c.path, deadline, c.done); err != nil {
 		return 0, err
 	}
 	return c.Conn.Write(data)
@@ -317,7 +321,10 @@
 // Close implements net.Conn.
 func (c *connection) Close() error {
 	c.mu.Lock()
-	c.closed = true
+	if !c.closed {
+		c.closed = true
+		close(c.done)
+	}
 	c.mu.Unlock()
 	c.network.mu.Lock()
 	delete(c.network.connections, c)
