concurrency: report the panic of a task when it happens

What callers saw: nothing, which was the fault: a background task of a gateway that panicked ended unnoticed, because the group hands a panic only to Wait and a gateway never waits. The gateway went on without, for example, its digests.

Change: groups report a panic at once to the handler of their context. A periodic task runs again at its next tick; a brief task, such as a release at a lender, ends alone; after the panic of a component the gateway drains and exits with an error, because its replacement has all components. Event 1013 has the stack.

Tests before: no panic is reported, and the gateway still runs a whole grace period after a component panicked. After: they pass with -race; a stream in flight is served to its end.

--- a/internal/concurrency/group.go
+++ b/internal/concurrency/group.go
@@ -11,7 +11,8 @@
 )
 
 // Group runs tasks, each in its own goroutine, until its context is done. A
-// panic in a task propagates to the caller of Wait.
+// panic in a task propagates to the caller of Wait, and at once to the PanicHandler of the
+// context.
 type Group struct {
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -31,15 +32,30 @@
 
 // Go starts a task in a new goroutine.
 func (g *Group) Go(task func(ctx context.Context)) {
-	g.tasks.Go(func() { task(g.ctx) })
+	g.tasks.Go(func() {
+		defer func() {
+			if value := recover(); value != nil {
+				reportPanic(g.ctx, value, true)
+				panic(value)
+			}
+		}()
+		task(g.ctx)
+	})
+}
+
+// GoBrief starts a task that the process can do without, such as one for a single request.
+// If the context has a PanicHandler, a panic ends only this task.
+func (g *Group) GoBrief(task func(ctx context.Context)) {
+	g.tasks.Go(func() { runBrief(g.ctx, task) })
 }
 
 // Every starts a goroutine that runs task immediately and again at each tick of the
-// interval, until the group stops.
+// interval, until the group stops. If the context has a PanicHandler, the task runs again at
+// the next tick after a panic.
 func (g *Group) Every(interval time.Duration, task func(ctx context.Context)) {
 	g.Go(func(ctx context.Context) {
 		for ctx.Err() == nil {
-			task(ctx)
+			runBrief(ctx, task)
 			Tick(ctx, interval)
 		}
 	})
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -39,6 +39,7 @@
 	SettingsReloaded  = Event{1010, logrus.InfoLevel, "settings reloaded", noAction}
 	SettingsIgnored   = Event{1011, logrus.WarnLevel, "changed settings ignored", "Fix the settings file; the process keeps using the previous settings."}
 	CallPanicked      = Event{1012, logrus.ErrorLevel, "call from another process panicked", "Report a bug with the stack in the record; only that call failed."}
+	TaskPanicked      = Event{1013, logrus.ErrorLevel, "background task panicked", "Report a bug with the stack in the record; if the task is needed, the process drains and exits."}
 	InvariantViolated = Event{1006, logrus.ErrorLevel, "invariant violated", "Report a bug with the log of the instance; the operation was refused."}
 )
 
@@ -111,7 +112,7 @@
 // Catalogue returns all events in ascending order of their numbers.
 func Catalogue() []Event {
 	return []Event{
-		ProcessStarted, DrainStarted, DrainEnded, DrainTimedOut, ServerFailed, InvariantViolated, RecordsSuppressed, RecordsDropped, ProcessStopped, SettingsReloaded, SettingsIgnored, CallPanicked,
+		ProcessStarted, DrainStarted, DrainEnded, DrainTimedOut, ServerFailed, InvariantViolated, RecordsSuppressed, RecordsDropped, ProcessStopped, SettingsReloaded, SettingsIgnored, CallPanicked, TaskPanicked,
 		TicketsApplied, StoreUnreachable, StoreReachable, ParentChanged, FreshnessLost, FreshnessRestored, TicketUnreadable,
 		ConfigurationApplied, ObjectUnreadable, ZoneEvacuated, ZoneReturned, RolloutRequested,
 		GatewayAlive, GatewayUnresponsive, SnapshotAdopted, SnapshotFailed,
--- a/internal/gateway/borrow.go
+++ b/internal/gateway/borrow.go
@@ -40,7 +40,7 @@
 	now := time.Now()
 	args := AcquireArgs{Gateway: g.self.Name, Job: *job, UntilDeadline: job.Deadline.Sub(now), UntilTarget: job.TargetTime.Sub(now)}
 	answers := make(chan remoteAnswer)
-	g.tasks.Go(func(taskCtx context.Context) {
+	g.tasks.GoBrief(func(taskCtx context.Context) {
 		answer := g.callLender(taskCtx, lender, &args)
 		select {
 		case answers <- answer:
@@ -74,7 +74,7 @@
 	decision := reply.Decision
 	decision.Lender, decision.Owned = lender.Name, false
 	return remoteAnswer{grant: dispatch.NewRemoteGrant(reply.Endpoint, reply.Version, decision, func(outcome dispatch.Outcome) {
-		g.tasks.Go(func(ctx context.Context) {
+		g.tasks.GoBrief(func(ctx context.Context) {
 			g.reportOutcome(ctx, lender, OutcomeArgs{GrantID: reply.GrantID, Outcome: outcome})
 		})
 	})}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,11 +60,13 @@
 	// Stale reports whether an idle connection was closed by the peer or has unread bytes.
 	Stale func(net.Conn) bool
 
-	observer      *storewatch.Observer
-	dispatcher    *dispatch.Dispatcher
-	federation    *dispatch.Federation
-	lender        *lender
-	tasks         *concurrency.Group
+	observer   *storewatch.Observer
+	dispatcher *dispatch.Dispatcher
+	federation *dispatch.Federation
+	lender     *lender
+	tasks      *concurrency.Group
+	// failures receives the failure of a component without which the gateway must not run.
+	failures      chan error
 	pool          *connpool.Pool
 	retries       *retry.Budget
 	bounds        atomic.Pointer[deployment.Bounds]
@@ -125,6 +127,9 @@
 	select {
 	case err := <-serveErrors:
 		return err
+	case err := <-g.failures:
+		g.drainRequests()
+		return err
 	case <-stop.Done():
 		g.drainRequests()
 		return nil
@@ -150,7 +155,8 @@
 	}
 	g.federation = &dispatch.Federation{Local: g.dispatcher, Remotes: g.remotePeers, AcquireRemote: g.acquireRemote}
 	g.lender = &lender{acquire: g.dispatcher.Acquire, log: g.Log}
-	g.tasks = concurrency.NewGroup(context.Background())
+	g.failures = make(chan error, 1)
+	g.tasks = concurrency.NewGroup(concurrency.WithPanicHandler(context.Background(), g.handleTaskPanic))
 	g.controlClient = &controlrpc.Client{Dial: g.Dial}
 	g.peering = &peering.Peering{
 		Self: g.self, Table: g.peerTable, Control: g.controlClient, BulkControl: &controlrpc.Client{Dial: g.Dial}, Log: g.Log,
--- a/internal/gateway/panic.go
+++ b/internal/gateway/panic.go
@@ -68,6 +68,22 @@
 	g.Log.Emit(event.CallPanicked, event.Fields{"method": method, "panic": fmt.Sprint(value), "stack": stackText(stack)})
 }
 
+// handleTaskPanic logs and counts a panic in a background task. A gateway that lacks a
+// component stops as planned: it serves what it has accepted, and its replacement has all of
+// its components.
+func (g *Gateway) handleTaskPanic(value any, stack []byte, needed bool) {
+	g.metrics.panics.Inc()
+	g.Log.Emit(event.TaskPanicked, event.Fields{"needed": needed, "panic": fmt.Sprint(value), "stack": stackText(stack)})
+	if !needed {
+		return
+	}
+	select {
+	case g.failures <- errors.Newf("a component panicked: %v", value):
+	default:
+		// The gateway is already stopping.
+	}
+}
+
 // maxStackBytes bounds the stack in a log record.
 const maxStackBytes = 8 << 10
 
