dispatch: return a refusal by value beside the grant

Acquire returned two pointers and nothing kept both from being nil: the caller that tested the refusal used a grant that did not exist. The refusal is a value now, so the only test that compiles is that of the grant, and a job without a grant is refused. A small result type with constructors was the alternative; it needs an accessor at each use and prevents nothing more.

Read for the same class, with no other way to return neither found: the functions of internal/gateway, internal/agent, internal/admission, internal/relay (pull) and internal/loader (manifests) that return a result or a refusal or error; each returns from a branch that constructs one of them.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -51,15 +51,15 @@
 	snapshots []endpointSnapshot
 }
 
-// Acquire returns a grant for an endpoint, or a refusal. It queues the job if an endpoint
-// may become available in time.
-func (d *Dispatcher) Acquire(ctx context.Context, job *Job) (*Grant, *Refusal) {
+// Acquire returns a grant for an endpoint or, if the grant is nil, the refusal. It queues the
+// job if an endpoint may become available in time.
+func (d *Dispatcher) Acquire(ctx context.Context, job *Job) (*Grant, Refusal) {
 	d.recordDemand(job)
 	return d.decide(ctx, job)
 }
 
 // AwaitEndpoint is like Acquire for a job whose demand is already recorded.
-func (d *Dispatcher) AwaitEndpoint(ctx context.Context, job *Job) (*Grant, *Refusal) {
+func (d *Dispatcher) AwaitEndpoint(ctx context.Context, job *Job) (*Grant, Refusal) {
 	return d.decide(ctx, job)
 }
 
@@ -87,7 +87,7 @@
 	d.service(job.Service).demand.record(time.Now())
 }
 
-func (d *Dispatcher) decide(ctx context.Context, job *Job) (*Grant, *Refusal) {
+func (d *Dispatcher) decide(ctx context.Context, job *Job) (*Grant, Refusal) {
 	queued := &queuedJob{job: job, enqueuedAt: time.Now(), done: make(chan struct{})}
 	service, decided := d.tryAdmit(queued)
 	if decided {
@@ -108,7 +108,7 @@
 
 // await waits until the queued job is decided. It removes the job from the queue and
 // returns a refusal if the deadline passes or ctx ends first.
-func (d *Dispatcher) await(ctx context.Context, service *serviceState, queued *queuedJob) (*Grant, *Refusal) {
+func (d *Dispatcher) await(ctx context.Context, service *serviceState, queued *queuedJob) (*Grant, Refusal) {
 	timer := time.NewTimer(time.Until(queued.deadline))
 	defer timer.Stop()
 	reason := ClientDisconnected
@@ -125,7 +125,7 @@
 		return queued.grant, queued.refusal
 	}
 	service.remove(queued)
-	return nil, &Refusal{Reason: reason, RetryAfter: overloadedRetryAfter, QueueTime: time.Since(queued.enqueuedAt)}
+	return nil, Refusal{Reason: reason, RetryAfter: overloadedRetryAfter, QueueTime: time.Since(queued.enqueuedAt)}
 }
 
 // ownershipOf returns the up-to-date ownership of the endpoints of a service with engines.
--- a/internal/dispatch/federation.go
+++ b/internal/dispatch/federation.go
@@ -34,9 +34,9 @@
 	// Remotes returns the latest reports on the live gateways of other cells.
 	Remotes func() []peering.Peer
 	// AcquireRemote asks a gateway of another cell for an endpoint. It returns an error if
-	// the gateway did not respond. Once ctx is done, its results matter only in that a
+	// the gateway did not respond, and otherwise the refusal if the grant is nil. Once ctx is done, its results matter only in that a
 	// grant is released.
-	AcquireRemote func(ctx context.Context, lender peering.Member, job *Job) (*Grant, *Refusal, error)
+	AcquireRemote func(ctx context.Context, lender peering.Member, job *Job) (*Grant, Refusal, error)
 
 	mu      sync.Mutex
 	lenders map[string]*lenderState
@@ -58,10 +58,10 @@
 	predicted time.Duration
 }
 
-// Acquire returns a grant for an endpoint, or a refusal. A job goes to another cell if that
-// is likely to serve it sooner. Otherwise it is queued in the own cell or, if that has no
-// endpoint for the job, in another one.
-func (f *Federation) Acquire(ctx context.Context, job *Job) (*Grant, *Refusal) {
+// Acquire returns a grant for an endpoint or, if the grant is nil, the refusal. A job goes to
+// another cell if that is likely to serve it sooner. Otherwise it is queued in the own cell
+// or, if that has no endpoint for the job, in another one.
+func (f *Federation) Acquire(ctx context.Context, job *Job) (*Grant, Refusal) {
 	if job.Model == "" || len(f.Remotes()) == 0 {
 		return f.Local.Acquire(ctx, job)
 	}
@@ -79,18 +79,18 @@
 			if grant != nil {
 				grant.Release()
 			}
-			return nil, &Refusal{Reason: ClientDisconnected, RetryAfter: overloadedRetryAfter, QueueTime: time.Since(asked)}
+			return nil, Refusal{Reason: ClientDisconnected, RetryAfter: overloadedRetryAfter, QueueTime: time.Since(asked)}
 		}
 		f.recordAnswer(lender.member, grant != nil, err)
 		if grant != nil {
-			return grant, nil
+			return grant, Refusal{}
 		}
 		if err == nil && refusal != nil && refusal.Reason == NoEndpoint {
-			refusal = remoteRefusal
+			refusal = &remoteRefusal
 		}
 	}
 	if refusal != nil && refusal.Reason == NoEndpoint {
-		return nil, refusal
+		return nil, *refusal
 	}
 	return f.Local.AwaitEndpoint(ctx, job)
 }
--- a/internal/dispatch/federation_test.go
+++ b/internal/dispatch/federation_test.go
@@ -15,7 +15,7 @@
 
 // newBusyFederation returns the federation of a gateway whose only engine could take a job,
 // but later than the engine that the gateway "lender" of another cell reports.
-func newBusyFederation(acquireRemote func(context.Context, peering.Member, *Job) (*Grant, *Refusal, error)) *Federation {
+func newBusyFederation(acquireRemote func(context.Context, peering.Member, *Job) (*Grant, Refusal, error)) *Federation {
 	endpoints := endpointsIn("a")
 	endpoints[0].Weights = []clusterstate.ModelVersion{{Model: "draft", Version: 1}}
 	store := clusterstate.NewStore()
@@ -46,11 +46,11 @@
 // another cell is asked: the gateway that used it ended with all its requests. A grant for a
 // caller that left must be released, and the other cell's gateway stays a lender.
 func TestCallerLeavesWhileAnotherCellIsAsked(t *testing.T) {
-	answers := map[string]func(grant *Grant) (*Grant, *Refusal, error){
-		"granted late": func(grant *Grant) (*Grant, *Refusal, error) { return grant, nil, nil },
-		"refused":      func(*Grant) (*Grant, *Refusal, error) { return nil, &Refusal{Reason: Overloaded}, nil },
-		"left":         func(*Grant) (*Grant, *Refusal, error) { return nil, &Refusal{Reason: ClientDisconnected}, nil },
-		"unreachable":  func(*Grant) (*Grant, *Refusal, error) { return nil, nil, errors.New("lender is unreachable") },
+	answers := map[string]func(grant *Grant) (*Grant, Refusal, error){
+		"granted late": func(grant *Grant) (*Grant, Refusal, error) { return grant, Refusal{}, nil },
+		"refused":      func(*Grant) (*Grant, Refusal, error) { return nil, Refusal{Reason: Overloaded}, nil },
+		"left":         func(*Grant) (*Grant, Refusal, error) { return nil, Refusal{Reason: ClientDisconnected}, nil },
+		"unreachable":  func(*Grant) (*Grant, Refusal, error) { return nil, Refusal{}, errors.New("lender is unreachable") },
 	}
 	for name, answer := range answers {
 		t.Run(name, func(t *testing.T) {
@@ -58,7 +58,7 @@
 				ctx, leave := context.WithCancel(t.Context())
 				var outcomes []Outcome
 				asked := 0
-				federation := newBusyFederation(func(context.Context, peering.Member, *Job) (*Grant, *Refusal, error) {
+				federation := newBusyFederation(func(context.Context, peering.Member, *Job) (*Grant, Refusal, error) {
 					asked++
 					leave()
 					return answer(NewRemoteGrant(clusterstate.Endpoint{ID: "remote"}, 1, Decision{}, func(outcome Outcome) { outcomes = append(outcomes, outcome) }))
@@ -67,7 +67,7 @@
 				if asked != 1 {
 					t.Fatalf("another cell was asked %d times, want once", asked)
 				}
-				if grant != nil || refusal == nil || refusal.Reason != ClientDisconnected {
+				if grant != nil || refusal.Reason != ClientDisconnected {
 					t.Errorf("grant %v and refusal %v, want the refusal %s", grant, refusal, ClientDisconnected)
 				}
 				if name == "granted late" && (len(outcomes) != 1 || outcomes[0] != Released) {
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -17,10 +17,10 @@
 	job        *Job
 	enqueuedAt time.Time
 	deadline   time.Time
-	// done is closed once grant or refusal is set.
+	// done is closed once grant or refusal is set. A decided job without a grant is refused.
 	done    chan struct{}
 	grant   *Grant
-	refusal *Refusal
+	refusal Refusal
 }
 
 func (q *queuedJob) accept(grant *Grant) {
@@ -28,12 +28,19 @@
 	close(q.done)
 }
 
-func (q *queuedJob) refuse(refusal *Refusal) {
+func (q *queuedJob) refuse(refusal Refusal) {
 	q.refusal = refusal
 	close(q.done)
 }
 
-func (q *queuedJob) decided() bool { return q.grant != nil || q.refusal != nil }
+func (q *queuedJob) decided() bool {
+	select {
+	case <-q.done:
+		return true
+	default:
+		return false
+	}
+}
 
 // before reports whether a job is served before another one: by priority, then jobs that
 // were not late when they were queued, then by arrival.
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -22,7 +22,7 @@
 func (d *Dispatcher) admit(service *serviceState, queued *queuedJob, now time.Time) {
 	best, count, config := d.findEndpoint(queued.job, now)
 	if count == 0 {
-		queued.refuse(&Refusal{Reason: NoEndpoint, RetryAfter: noEndpointRetryAfter})
+		queued.refuse(Refusal{Reason: NoEndpoint, RetryAfter: noEndpointRetryAfter})
 		return
 	}
 	if best.endpointSnapshot != nil && !service.hasJobAhead(queued.job) {
@@ -31,7 +31,7 @@
 	}
 	queued.deadline = queueDeadline(config, queued.job, now)
 	if !queued.deadline.After(now) {
-		queued.refuse(&Refusal{Reason: Overloaded, RetryAfter: overloadedRetryAfter})
+		queued.refuse(Refusal{Reason: Overloaded, RetryAfter: overloadedRetryAfter})
 		return
 	}
 	service.enqueue(queued)
--- a/internal/gateway/borrow.go
+++ b/internal/gateway/borrow.go
@@ -26,17 +26,18 @@
 // remotePeers returns the latest reports on the live gateways of other cells.
 func (g *Gateway) remotePeers() []peering.Peer { return g.peerTable.RemotePeers() }
 
-// remoteAnswer is the answer of a gateway of another cell.
+// remoteAnswer is the answer of a gateway of another cell: without an error and a grant, it is
+// the refusal.
 type remoteAnswer struct {
 	grant   *dispatch.Grant
-	refusal *dispatch.Refusal
+	refusal dispatch.Refusal
 	err     error
 }
 
 // acquireRemote asks a gateway of another cell for an endpoint for the job. The call goes on
 // if the caller leaves, for two reasons: a grant that arrives later must be released at the
 // lender, and to end a call is to close the connection, which other requests share.
-func (g *Gateway) acquireRemote(ctx context.Context, lender peering.Member, job *dispatch.Job) (*dispatch.Grant, *dispatch.Refusal, error) {
+func (g *Gateway) acquireRemote(ctx context.Context, lender peering.Member, job *dispatch.Job) (*dispatch.Grant, dispatch.Refusal, error) {
 	now := time.Now()
 	args := AcquireArgs{Gateway: g.self.Name, Job: *job, UntilDeadline: job.Deadline.Sub(now), UntilTarget: job.TargetTime.Sub(now)}
 	answers := make(chan remoteAnswer)
@@ -54,7 +55,7 @@
 	case answer := <-answers:
 		return answer.grant, answer.refusal, answer.err
 	case <-ctx.Done():
-		return nil, &dispatch.Refusal{Reason: dispatch.ClientDisconnected, QueueTime: time.Since(now)}, nil
+		return nil, dispatch.Refusal{Reason: dispatch.ClientDisconnected, QueueTime: time.Since(now)}, nil
 	}
 }
 
@@ -69,7 +70,7 @@
 		return remoteAnswer{err: err}
 	}
 	if reply.GrantID == 0 {
-		return remoteAnswer{refusal: &reply.Refusal}
+		return remoteAnswer{refusal: reply.Refusal}
 	}
 	decision := reply.Decision
 	decision.Lender, decision.Owned = lender.Name, false
--- a/internal/gateway/borrow_test.go
+++ b/internal/gateway/borrow_test.go
@@ -21,11 +21,11 @@
 
 // withLender runs a test with a gateway that borrows from a lender, which decides with
 // acquire after 100 ms.
-func withLender(t *testing.T, acquire func() (*dispatch.Grant, *dispatch.Refusal), test func(borrower *Gateway, lender *lender)) {
+func withLender(t *testing.T, acquire func() (*dispatch.Grant, dispatch.Refusal), test func(borrower *Gateway, lender *lender)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		network := fakes.NewNetwork()
-		l := &lender{log: event.Discard(), acquire: func(context.Context, *dispatch.Job) (*dispatch.Grant, *dispatch.Refusal) {
+		l := &lender{log: event.Discard(), acquire: func(context.Context, *dispatch.Job) (*dispatch.Grant, dispatch.Refusal) {
 			time.Sleep(100 * time.Millisecond)
 			return acquire()
 		}}
@@ -56,8 +56,8 @@
 // left before the grant arrived.
 func TestGrantAfterCallerLeftIsReleasedAtLender(t *testing.T) {
 	var outcomes []dispatch.Outcome
-	acquire := func() (*dispatch.Grant, *dispatch.Refusal) {
-		return dispatch.NewRemoteGrant(clusterstate.Endpoint{ID: "engine"}, 1, dispatch.Decision{}, func(outcome dispatch.Outcome) { outcomes = append(outcomes, outcome) }), nil
+	acquire := func() (*dispatch.Grant, dispatch.Refusal) {
+		return dispatch.NewRemoteGrant(clusterstate.Endpoint{ID: "engine"}, 1, dispatch.Decision{}, func(outcome dispatch.Outcome) { outcomes = append(outcomes, outcome) }), dispatch.Refusal{}
 	}
 	withLender(t, acquire, func(borrower *Gateway, lender *lender) {
 		ctx, leave := context.WithTimeout(context.Background(), 50*time.Millisecond)
@@ -78,13 +78,13 @@
 // Guards against a caller that leaves and thereby fails the requests of other callers for
 // which the gateway has asked the same lender.
 func TestCallerThatLeavesKeepsConnectionToLender(t *testing.T) {
-	acquire := func() (*dispatch.Grant, *dispatch.Refusal) {
-		return nil, &dispatch.Refusal{Reason: dispatch.Overloaded}
+	acquire := func() (*dispatch.Grant, dispatch.Refusal) {
+		return nil, dispatch.Refusal{Reason: dispatch.Overloaded}
 	}
 	withLender(t, acquire, func(borrower *Gateway, _ *lender) {
 		group := concurrency.NewGroup(context.Background())
 		group.Go(func(ctx context.Context) {
-			if _, refusal, err := borrower.acquireRemote(ctx, lenderMember, newLentJob()); err != nil || refusal == nil || refusal.Reason != dispatch.Overloaded {
+			if _, refusal, err := borrower.acquireRemote(ctx, lenderMember, newLentJob()); err != nil || refusal.Reason != dispatch.Overloaded {
 				t.Errorf("refusal %v, error %v; want the lender's refusal", refusal, err)
 			}
 		})
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -51,7 +51,7 @@
 	lastRefusal := notExecuted(dispatch.NoEndpoint, defaultRetryAfter)
 	for attempts, unsent := 0, 0; ; {
 		grant, refused := r.gateway.federation.Acquire(r.ctx, job)
-		if refused != nil {
+		if grant == nil {
 			if attempts == 0 {
 				lastRefusal = notExecuted(refused.Reason, refused.RetryAfter)
 			}
--- a/internal/gateway/lend.go
+++ b/internal/gateway/lend.go
@@ -47,7 +47,7 @@
 // lender grants the gateway's endpoints to gateways of other cells and holds these grants
 // until they are released or the job's deadline passes.
 type lender struct {
-	acquire func(ctx context.Context, job *dispatch.Job) (*dispatch.Grant, *dispatch.Refusal)
+	acquire func(ctx context.Context, job *dispatch.Job) (*dispatch.Grant, dispatch.Refusal)
 	log     *event.Logger
 
 	mu     sync.Mutex
@@ -72,8 +72,8 @@
 	defer cancel()
 	grant, refusal := l.acquire(ctx, &job)
 	fields := event.Fields{"request": job.ID, "gateway": args.Gateway, "service": job.Service, "afterMs": time.Since(now).Milliseconds()}
-	if refusal != nil {
-		reply.Refusal = *refusal
+	if grant == nil {
+		reply.Refusal = refusal
 		fields["reason"] = string(refusal.Reason)
 		l.log.Emit(event.EndpointNotLent, fields)
 		return nil
--- a/internal/simulation/caller.go
+++ b/internal/simulation/caller.go
@@ -66,9 +66,9 @@
 		job.TargetTime = now
 	}
 	grant, refusal := g.federation.Acquire(ctx, job)
-	if refusal != nil {
+	if grant == nil {
 		concurrency.Sleep(ctx, r.Site.CallerDelay)
-		return refusal
+		return &refusal
 	}
 	defer grant.Release()
 	return r.forward(ctx, g, grant, req)
--- a/internal/simulation/run.go
+++ b/internal/simulation/run.go
@@ -247,8 +247,8 @@
 }
 
 // acquireRemote returns the function with which a gateway acquires endpoints of others.
-func (r *Run) acquireRemote(g *gateway) func(context.Context, peering.Member, *dispatch.Job) (*dispatch.Grant, *dispatch.Refusal, error) {
-	return func(ctx context.Context, member peering.Member, job *dispatch.Job) (*dispatch.Grant, *dispatch.Refusal, error) {
+func (r *Run) acquireRemote(g *gateway) func(context.Context, peering.Member, *dispatch.Job) (*dispatch.Grant, dispatch.Refusal, error) {
+	return func(ctx context.Context, member peering.Member, job *dispatch.Job) (*dispatch.Grant, dispatch.Refusal, error) {
 		index := slices.IndexFunc(r.gateways, func(other *gateway) bool { return other.name == member.Name })
 		lender := r.gateways[index]
 		delay := r.delay(g.zone, lender.zone)
@@ -256,7 +256,7 @@
 		received := *job
 		grant, refusal := lender.dispatcher.Acquire(ctx, &received)
 		concurrency.Sleep(ctx, delay)
-		if refusal != nil {
+		if grant == nil {
 			return nil, refusal, nil
 		}
 		return dispatch.NewRemoteGrant(grant.Endpoint, grant.Version, grant.Decision, func(outcome dispatch.Outcome) {
@@ -268,7 +268,7 @@
 					grant.Record(outcome)
 				}
 			})
-		}), nil, nil
+		}), dispatch.Refusal{}, nil
 	}
 }
 
