simulation: callers that leave, repeat and cancel in a fleet with cells

The emulated fleet had only callers that wait for their answer, so the pattern in which a gateway ended by itself could not occur. The present callers and their checks are unchanged, under this added load.

Test: every pattern on 22 gateways in five cells; some callers leave, some of them while another cell is asked, and no job stays counted.

--- a/internal/simulation/caller.go
+++ b/internal/simulation/caller.go
@@ -17,6 +17,8 @@
 	answerTokens int
 	start        time.Time
 	refusals     int
+	// leaves is true for a request whose caller leaves, which has no outcome.
+	leaves bool
 }
 
 // maxEventInterval is the longest interval between two events of a response that counts as
@@ -108,6 +110,10 @@
 				r.recordServed(req, first, late)
 				return nil
 			}
+		case <-ctx.Done():
+			timeout.Stop()
+			host.engine.Cancel(engineReq)
+			return nil
 		case <-timeout.C:
 			host.engine.Cancel(engineReq)
 			grant.Record(dispatch.Failed)
--- a/internal/simulation/result.go
+++ b/internal/simulation/result.go
@@ -53,7 +53,11 @@
 	refusedValue  float64
 	// slowCount is the number of requests that were accepted at the first attempt and answered
 	// late.
-	slowCount       int
+	slowCount int
+	// left is the number of attempts whose caller left, leftAsking that of those for which
+	// another cell was being asked.
+	left            int
+	leftAsking      int
 	firstEventTimes []time.Duration
 }
 
@@ -85,9 +89,18 @@
 	// first event.
 	FirstEventP50 time.Duration `json:"medianNanoseconds"`
 	FirstEventP95 time.Duration `json:"highNanoseconds"`
+	// Left is the number of attempts whose caller left, LeftAsking that of those for which
+	// another cell was being asked. Unreleased is the number of jobs that gateways still count
+	// after the last one has ended.
+	Left       int `json:"left"`
+	LeftAsking int `json:"leftAsking"`
+	Unreleased int `json:"unreleased"`
 }
 
 func (r *Run) recordServed(req *request, first time.Time, late bool) {
+	if req.leaves {
+		return
+	}
 	r.mu.Lock()
 	r.stats.firstEventTimes = append(r.stats.firstEventTimes, first.Sub(req.start))
 	r.mu.Unlock()
@@ -98,8 +111,11 @@
 	r.recordOutcome(req, outcomeInTime)
 }
 
-// recordOutcome records the outcome of a request.
+// recordOutcome records the outcome of a request whose caller does not leave.
 func (r *Run) recordOutcome(req *request, result outcome) {
+	if req.leaves {
+		return
+	}
 	relativeSize := float64(req.promptTokens+answerTokenWeight*req.answerTokens) / (req.kind.PromptTokens.Mean + answerTokenWeight*req.kind.AnswerTokens.Mean)
 	scale := min(maxValueMultiple, fixedValueShare+(1-fixedValueShare)*relativeSize)
 	earned := 0.0
@@ -148,6 +164,7 @@
 	fraction := func(o outcome) float64 { return float64(s.outcomeCounts[o]) / float64(max(1, total)) }
 	result := Result{
 		Site: r.Site.Name, Pattern: r.Pattern.Name, Seed: r.Seed, EarnedShare: s.total.share(), WorstKindShare: 1, LargeShare: s.large.share(),
+		Left: s.left, LeftAsking: s.leftAsking, Unreleased: r.runningJobs(),
 		InTimeShare: fraction(outcomeInTime), LateShare: fraction(outcomeLate), RefusedShare: fraction(outcomeRefused), FailedShare: fraction(outcomeFailed),
 	}
 	if s.total.attainable > 0 {
--- a/internal/simulation/run.go
+++ b/internal/simulation/run.go
@@ -246,32 +246,61 @@
 	}
 }
 
-// acquireRemote returns the function with which a gateway acquires endpoints of others.
+// remoteAnswer is the answer of a gateway of another cell.
+type remoteAnswer struct {
+	grant   *dispatch.Grant
+	refusal dispatch.Refusal
+}
+
+// acquireRemote returns the function with which a gateway acquires endpoints of others. As in
+// a gateway, the call goes on if the caller leaves, and a late grant is released.
 func (r *Run) acquireRemote(g *gateway) func(context.Context, peering.Member, *dispatch.Job) (*dispatch.Grant, dispatch.Refusal, error) {
 	return func(ctx context.Context, member peering.Member, job *dispatch.Job) (*dispatch.Grant, dispatch.Refusal, error) {
-		index := slices.IndexFunc(r.gateways, func(other *gateway) bool { return other.name == member.Name })
-		lender := r.gateways[index]
-		delay := r.delay(g.zone, lender.zone)
-		concurrency.Sleep(ctx, delay)
 		received := *job
-		grant, refusal := lender.dispatcher.Acquire(ctx, &received)
-		concurrency.Sleep(ctx, delay)
-		if grant == nil {
-			return nil, refusal, nil
-		}
-		return dispatch.NewRemoteGrant(grant.Endpoint, grant.Version, grant.Decision, func(outcome dispatch.Outcome) {
-			r.tasks.Go(func(ctx context.Context) {
-				concurrency.Sleep(ctx, delay)
-				if outcome == dispatch.Released {
-					grant.Release()
-				} else {
-					grant.Record(outcome)
+		answers := make(chan remoteAnswer)
+		r.tasks.Go(func(taskCtx context.Context) {
+			answer := r.callLender(taskCtx, g, member, &received)
+			select {
+			case answers <- answer:
+			case <-ctx.Done():
+				r.count(&r.stats.leftAsking)
+				if answer.grant != nil {
+					answer.grant.Release()
 				}
-			})
-		}), dispatch.Refusal{}, nil
+			}
+		})
+		select {
+		case answer := <-answers:
+			return answer.grant, answer.refusal, nil
+		case <-ctx.Done():
+			return nil, dispatch.Refusal{Reason: dispatch.ClientDisconnected}, nil
+		}
 	}
 }
 
+// callLender asks a gateway of another cell for an endpoint.
+func (r *Run) callLender(ctx context.Context, g *gateway, member peering.Member, job *dispatch.Job) remoteAnswer {
+	index := slices.IndexFunc(r.gateways, func(other *gateway) bool { return other.name == member.Name })
+	lender := r.gateways[index]
+	delay := r.delay(g.zone, lender.zone)
+	concurrency.Sleep(ctx, delay)
+	grant, refusal := lender.dispatcher.Acquire(ctx, job)
+	concurrency.Sleep(ctx, delay)
+	if grant == nil {
+		return remoteAnswer{refusal: refusal}
+	}
+	return remoteAnswer{grant: dispatch.NewRemoteGrant(grant.Endpoint, grant.Version, grant.Decision, func(outcome dispatch.Outcome) {
+		r.tasks.Go(func(ctx context.Context) {
+			concurrency.Sleep(ctx, delay)
+			if outcome == dispatch.Released {
+				grant.Release()
+			} else {
+				grant.Record(outcome)
+			}
+		})
+	})}
+}
+
 // delay returns the one-way delay between availability zones.
 func (r *Run) delay(a, b int) time.Duration {
 	if a == b {
@@ -301,7 +330,12 @@
 	generators := concurrency.NewGroup(ctx)
 	for _, kind := range r.Site.Kinds {
 		for zone := range r.Site.Gateways {
-			generators.Go(func(ctx context.Context) { r.generateRequests(ctx, callers, kind, zone) })
+			generators.Go(func(ctx context.Context) { r.generateRequests(ctx, callers, kind, zone, r.runRequest) })
+			if r.Site.LeaverRate > 0 {
+				leavers := kind
+				leavers.Rate *= r.Site.LeaverRate
+				generators.Go(func(ctx context.Context) { r.generateRequests(ctx, callers, leavers, zone, r.runLeaver) })
+			}
 		}
 	}
 	generators.Wait()
@@ -309,7 +343,7 @@
 }
 
 // generateRequests starts the callers of a kind in an availability zone as a Poisson process.
-func (r *Run) generateRequests(ctx context.Context, callers *concurrency.Group, kind Kind, zone int) {
+func (r *Run) generateRequests(ctx context.Context, callers *concurrency.Group, kind Kind, zone int, run func(ctx context.Context, kind Kind, zone int)) {
 	baseRate := kind.Rate / float64(len(r.Site.Gateways))
 	for {
 		elapsed := time.Since(r.start)
@@ -321,6 +355,6 @@
 		if elapsed+interval > r.Pattern.Duration || !concurrency.Sleep(ctx, interval) {
 			return
 		}
-		callers.Go(func(ctx context.Context) { r.runRequest(ctx, kind, zone) })
+		callers.Go(func(ctx context.Context) { run(ctx, kind, zone) })
 	}
 }
--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -113,3 +113,31 @@
 		}
 	}
 }
+
+// smallSiteWithCells returns a fleet that is just large enough for cells, at the load of the
+// large one.
+func smallSiteWithCells() simulation.Site {
+	site := simulation.LargeSite()
+	site.Name, site.Gateways, site.Engines = "cells", []int{5, 5, 4, 4, 4}, []int{8, 8, 8, 8, 8}
+	for index := range site.Kinds {
+		site.Kinds[index].Rate /= 5
+	}
+	return site
+}
+
+// Guards against callers that leave, repeat or cancel while another cell is asked: each job
+// is granted or refused, and what was granted to a caller that left is released.
+func TestCallersLeaveFleetWithCells(t *testing.T) {
+	asking := 0
+	for _, pattern := range simulation.Patterns() {
+		pattern.Duration = 4 * time.Second
+		r := runSimulation(t, smallSiteWithCells(), pattern, 1)
+		if r.Left == 0 || r.Unreleased != 0 {
+			t.Errorf("%s: %d attempts left by their callers, %d jobs never released; want some and none", r.Pattern, r.Left, r.Unreleased)
+		}
+		asking += r.LeftAsking
+	}
+	if asking == 0 {
+		t.Error("no caller left while another cell was asked")
+	}
+}
--- a/internal/simulation/site.go
+++ b/internal/simulation/site.go
@@ -25,6 +25,8 @@
 	// between regions.
 	CallerDelay time.Duration
 	RegionDelay time.Duration
+	// LeaverRate is the rate of additional callers that leave, as a part of the other callers'.
+	LeaverRate float64
 }
 
 // Kind describes a class of requests.
@@ -117,7 +119,7 @@
 			{Name: "middle", Rate: 250, PromptTokens: TokenDistribution{827, 1, 3330}, AnswerTokens: TokenDistribution{74, 0.69, 185}, TargetLatency: 600 * time.Millisecond, InTimeValue: 1.9, LateValue: 0.47},
 			{Name: "short", Rate: 189, PromptTokens: TokenDistribution{647, 0.96, 2640}, AnswerTokens: TokenDistribution{70, 0.9, 185}, TargetLatency: 500 * time.Millisecond, InTimeValue: 1.7, LateValue: 0.43},
 		},
-		CallerDelay: 3 * time.Millisecond, RegionDelay: 1800 * time.Microsecond,
+		CallerDelay: 3 * time.Millisecond, RegionDelay: 1800 * time.Microsecond, LeaverRate: 0.1,
 	}
 }
 
