gateway: a caller that leaves early is no failure of the endpoint

What callers saw: refusals and slow answers at a gateway with impatient callers. When a caller left before the first event, its attempt was recorded as a failure of the endpoint, which was excluded for 250 ms, and for up to 4 s after more of them.

Change: where the caller left before the endpoint was expected to respond, no outcome is recorded. One that waits for longer still counts, because callers that give up are a sign of an endpoint that hangs.

Test before: five callers that leave after 20 ms of a prompt of half a second sum up to a failure share of 0.54. After: 0, in 3 runs with -race.

--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -60,6 +60,7 @@
 		r.grant = grant
 		job.Tried = append(job.Tried, grant.Endpoint.ID)
 		r.logSent(grant, attempts+1)
+		sentAt := time.Now()
 		a, failed := r.startAttempt(grant, r.forwardOptions(grant), r.route.Kind == configuration.AtMostOnce)
 		if failed == nil && !r.shouldRetry(a) {
 			r.gateway.metrics.recordAttempt(grant, attemptAnswered)
@@ -76,6 +77,10 @@
 		}
 		grant.Release()
 		r.logFailed(grant, failed, attempts+1)
+		if r.ctx.Err() != nil && time.Since(sentAt) < grant.Decision.PredictedLatency {
+			// The endpoint was not yet expected to respond, so this is no failure of it.
+			return nil, r.leftRefusal()
+		}
 		lastRefusal = r.recordFailure(grant, failed, lastRefusal)
 		if failed.sent && !failed.misdirected {
 			attempts++
@@ -93,6 +98,15 @@
 	}
 }
 
+// leftRefusal returns the refusal of a request whose client disconnected. Nobody receives it,
+// but it is logged.
+func (r *request) leftRefusal() *refusal {
+	if r.mayHaveRun {
+		return possiblyExecuted(string(dispatch.ClientDisconnected))
+	}
+	return notExecuted(dispatch.ClientDisconnected, defaultRetryAfter)
+}
+
 // recordFailure records a failed attempt with the dispatcher and returns the refusal to send
 // to the client if no other attempt follows.
 func (r *request) recordFailure(grant *dispatch.Grant, failed *failure, lastRefusal *refusal) *refusal {
--- a/internal/integration/disconnect_test.go
+++ b/internal/integration/disconnect_test.go
@@ -59,3 +59,19 @@
 		}
 	})
 }
+
+// Guards against an endpoint that counts as failing because callers left before it could
+// respond: gateways would send it no requests for up to 4 s.
+func TestDisconnectedCallerIsNoFailureOfEndpoint(t *testing.T) {
+	withInstallation(t, func(i *installation) {
+		for range 5 {
+			call := i.chatCall(0)
+			call.PromptTokens, call.DisconnectAfter = 10_000, 20*time.Millisecond
+			_, _ = platformtest.Do(i.network.ForProcess("caller").Dial, call)
+		}
+		time.Sleep(maxReleaseTime)
+		if share := i.gauge(gatewayName(0), "mimosaward_endpoint_failure_share"); share != 0 {
+			t.Errorf("failure shares of the endpoints sum up to %.2f, want 0", share)
+		}
+	})
+}
