loader: report panics, exit when a component has ended

What callers saw: nothing until later: a component of a loader that panicked ended unnoticed, for example its polls of the engine or its requests to gateways, and a request of another instance that panicked ended the loader.

Change: as in gateways, but without draining: the engine serves without its loader, and the next loader continues from the staged chunks.

Test before: the loader still runs 3 s after a component panicked. After: it exits with the error, 3 runs with -race.

--- a/internal/event/logger.go
+++ b/internal/event/logger.go
@@ -64,6 +64,15 @@
 	l.write(rec)
 }
 
+// maxStackBytes bounds the stack in a record.
+const maxStackBytes = 8 << 10
+
+// EmitPanic emits a record of a panic with its value and stack. It adds them to the fields.
+func (l *Logger) EmitPanic(e Event, value any, stack []byte, fields Fields) {
+	fields["panic"], fields["stack"] = fmt.Sprint(value), string(stack[:min(len(stack), maxStackBytes)])
+	l.Emit(e, fields)
+}
+
 func (l *Logger) write(rec record) {
 	l.entry.WithFields(rec.fields).WithField("event", rec.event.number).WithTime(rec.at).Log(rec.event.level, rec.event.text)
 }
--- a/internal/gateway/panic.go
+++ b/internal/gateway/panic.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"fmt"
 	"runtime/debug"
 
 	"github.com/cockroachdb/errors"
@@ -59,13 +58,13 @@
 // recordPanic logs and counts a panic. It must be called by the function that recovered it.
 func (g *Gateway) recordPanic(requestID string, value any) {
 	g.metrics.panics.Inc()
-	g.Log.Emit(event.RequestPanicked, event.Fields{"request": requestID, "panic": fmt.Sprint(value), "stack": stackText(debug.Stack())})
+	g.Log.EmitPanic(event.RequestPanicked, value, debug.Stack(), event.Fields{"request": requestID})
 }
 
 // recordCallPanic logs and counts a panic in a call of another process.
 func (g *Gateway) recordCallPanic(method string, value any, stack []byte) {
 	g.metrics.panics.Inc()
-	g.Log.Emit(event.CallPanicked, event.Fields{"method": method, "panic": fmt.Sprint(value), "stack": stackText(stack)})
+	g.Log.EmitPanic(event.CallPanicked, value, stack, event.Fields{"method": method})
 }
 
 // handleTaskPanic logs and counts a panic in a background task. A gateway that lacks a
@@ -73,7 +72,7 @@
 // its components.
 func (g *Gateway) handleTaskPanic(value any, stack []byte, needed bool) {
 	g.metrics.panics.Inc()
-	g.Log.Emit(event.TaskPanicked, event.Fields{"needed": needed, "panic": fmt.Sprint(value), "stack": stackText(stack)})
+	g.Log.EmitPanic(event.TaskPanicked, value, stack, event.Fields{"needed": needed})
 	if !needed {
 		return
 	}
@@ -83,8 +82,3 @@
 		// The gateway is already stopping.
 	}
 }
-
-// maxStackBytes bounds the stack in a log record.
-const maxStackBytes = 8 << 10
-
-func stackText(stack []byte) string { return string(stack[:min(len(stack), maxStackBytes)]) }
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -51,6 +51,8 @@
 	Dial        func(address string) (net.Conn, error)
 	DialControl func(ctx context.Context, address string) (net.Conn, error)
 
+	// failures receives the failure of a component without which the loader must not run.
+	failures       chan error
 	engine         *platform.Engine
 	origin         *platform.Origin
 	store          *weights.Store
@@ -95,8 +97,9 @@
 	defer func() { _ = chunkListener.Close() }()
 	app := fiber.New()
 	l.transport.RegisterRoutes(app)
-	chunkServer := &fasthttp.Server{Handler: app.Handler(), NoDefaultServerHeader: true, IdleTimeout: peerIdleTimeout}
-	group := concurrency.NewGroup(stop)
+	chunkServer := &fasthttp.Server{Handler: l.containPanics(app.Handler()), NoDefaultServerHeader: true, IdleTimeout: peerIdleTimeout}
+	group := concurrency.NewGroup(concurrency.WithPanicHandler(stop, l.handleTaskPanic))
+	defer group.Stop()
 	group.Go(l.requestPlanFromSeeds)
 	group.Go(l.watchGatewayContact)
 	group.Go(func(ctx context.Context) { server.Run(ctx, controlListener) })
@@ -105,7 +108,11 @@
 	group.Go(l.fetchLoop)
 	group.Go(l.loadLoop)
 	l.Log.Emit(event.ProcessStarted, event.Fields{"engine": l.Deployment.Endpoint.Address})
-	<-stop.Done()
+	select {
+	case err := <-l.failures:
+		return err
+	case <-stop.Done():
+	}
 	// No graceful shutdown is needed: the next loader continues from the staged chunks.
 	return nil
 }
@@ -121,6 +128,7 @@
 
 func (l *Loader) prepare() {
 	l.started = time.Now()
+	l.failures = make(chan error, 1)
 	l.metrics = newLoaderMetrics(l.Registry)
 	l.registerGauges(l.Registry)
 	l.plans = newPlanHolder()
@@ -145,6 +153,7 @@
 
 func (l *Loader) controlServer() (*controlrpc.Server, error) {
 	server := controlrpc.NewServer()
+	server.OnPanic = l.recordCallPanic
 	err := server.Register(ServiceName, &service{loader: l})
 	return server, errors.Wrap(err, "register the loader's service")
 }
