--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -39,6 +39,8 @@
 	SettingsReloaded  = Event{1010, logrus.InfoLevel, "settings reloaded", noAction}
 	SettingsIgnored   = Event{1011, logrus.WarnLevel, "changed settings ignored", "Fix the settings file; the process keeps using the previous settings."}
 	AcceptFailed      = Event{1012, logrus.WarnLevel, "connection could not be accepted, will retry", "If this repeats, raise the limit of file descriptors or add instances."}
+	CallPanicked      = Event{1013, logrus.ErrorLevel, "call from another process panicked", "Report a bug with the stack in the record; only that call failed."}
+	TaskPanicked      = Event{1014, logrus.ErrorLevel, "background task panicked", "Report a bug with the stack in the record; if the task is needed, the process drains and exits."}
 	InvariantViolated = Event{1006, logrus.ErrorLevel, "invariant violated", "Report a bug with the log of the instance; the operation was refused."}
 )
 
@@ -110,20 +112,20 @@
 	PartAdmitted       = Event{4111, logrus.InfoLevel, "requests with a prompt part are admitted again after one was answered", noAction}
 	PartTried          = Event{4112, logrus.InfoLevel, "single request with a refused prompt part sent to find out whether engines still end", noAction}
 	RequestCut         = Event{4120, logrus.WarnLevel, "request cut off by the exit of the process", "If this repeats, check that the grace period exceeds the time that requests take."}
+	RequestPanicked    = Event{4113, logrus.ErrorLevel, "request panicked", "Report a bug with the stack in the record; only that request failed."}
 	OutcomeUnknown     = Event{4005, logrus.WarnLevel, "outcome of a non-idempotent request is unknown", "The caller received the outcome; the idempotency key stays claimed. Check whether the service executed the request."}
 )
 
 // Catalogue returns all events in ascending order of their numbers.
 func Catalogue() []Event {
 	return []Event{
-		ProcessStarted, DrainStarted, DrainEnded, DrainTimedOut, ServerFailed, InvariantViolated, RecordsSuppressed, RecordsDropped, ProcessStopped, SettingsReloaded, SettingsIgnored, AcceptFailed,
+		ProcessStarted, DrainStarted, DrainEnded, DrainTimedOut, ServerFailed, InvariantViolated, RecordsSuppressed, RecordsDropped, ProcessStopped, SettingsReloaded, SettingsIgnored, AcceptFailed, CallPanicked, TaskPanicked,
 		TicketsApplied, StoreUnreachable, StoreReachable, ParentChanged, FreshnessLost, FreshnessRestored, TicketUnreadable,
 		ConfigurationApplied, ObjectUnreadable, ZoneEvacuated, ZoneReturned, RolloutRequested,
 		GatewayAlive, GatewayUnresponsive, SnapshotAdopted, SnapshotFailed,
 		RolloutStarted, SetComplete, ChunkCorrupt, PeerExcluded, LoadOrdered, LoadFailed, LoadCompleted, ManifestFailed,
 		ChunkMemoryTooSmall, SwapWaiting, RolloutAbandoned, EngineUnreachable, EngineReachable, GatewaysUnreachable, GatewaysReachable,
 		EndpointCold, ResponseMismatched, StreamResumed, StreamAborted, OutcomeUnknown, LoaderUnreachable, LoaderReachable, RequestSent, RequestEnded, RequestRefused, AttemptFailed, EndpointLent, EndpointNotLent, LenderUnreachable,
-		CrashSuspected, CrashConfirmed, PartRejected, PartAdmitted, PartTried,
-		RequestCut,
+		CrashSuspected, CrashConfirmed, PartRejected, PartAdmitted, PartTried, RequestPanicked, RequestCut,
 	}
 }
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -63,6 +63,7 @@
 			}
 			return nil, lastRefusal
 		}
+		r.grant = grant
 		job.Tried = append(job.Tried, grant.Endpoint.ID)
 		r.logSent(grant, attempts+1)
 		a, failed := r.startAttempt(grant, r.forwardOptions(grant), r.route.Kind == configuration.AtMostOnce)
@@ -105,7 +106,7 @@
 		return nil, refused
 	}
 	grant, refused := r.gateway.federation.Acquire(r.ctx, job)
-	if refused != nil {
+	if grant == nil {
 		return nil, notExecuted(refused.Reason, refused.RetryAfter)
 	}
 	if refused := r.checkQuarantine(attempts); refused != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,11 +61,13 @@
 	// Stale reports whether an idle connection was closed by the peer or has unread bytes.
 	Stale func(net.Conn) bool
 
-	observer      *storewatch.Observer
-	dispatcher    *dispatch.Dispatcher
-	federation    *dispatch.Federation
-	lender        *lender
-	tasks         *concurrency.Group
+	observer   *storewatch.Observer
+	dispatcher *dispatch.Dispatcher
+	federation *dispatch.Federation
+	lender     *lender
+	tasks      *concurrency.Group
+	// failures receives the failure of a component without which the gateway must not run.
+	failures      chan error
 	pool          *connpool.Pool
 	retries       *retry.Budget
 	bounds        atomic.Pointer[deployment.Bounds]
@@ -104,12 +106,12 @@
 	group.Every(disconnectCheckInterval, func(context.Context) { g.requests.cancelDisconnected(g.Disconnected) })
 	group.Every(sweepInterval, func(context.Context) { g.pool.Sweep() })
 	serveErrors := make(chan error, 3)
-	callers := newServer(g.handleRequest)
+	callers := newServer(g.containPanics(g.handleRequest))
 	callers.ConnState = g.connections.setState
 	servers := map[string]*fasthttp.Server{
 		g.Deployment.Listen.Clients:   callers,
-		g.Deployment.Listen.Readiness: newServer(g.handleReadiness),
-		g.Deployment.Listen.Directory: newServer(g.handleDirectory),
+		g.Deployment.Listen.Readiness: newServer(g.containPanics(g.handleReadiness)),
+		g.Deployment.Listen.Directory: newServer(g.containPanics(g.handleDirectory)),
 	}
 	// The group's tasks return on their own after Stop; the process does not wait for
 	// them.
@@ -133,6 +135,9 @@
 		g.Log.Emit(event.ServerFailed, event.Fields{"error": errorText(err)})
 		g.drainRequests(callers)
 		return err
+	case err := <-g.failures:
+		g.drainRequests(callers)
+		return err
 	case <-stop.Done():
 		g.drainRequests(callers)
 		return nil
@@ -157,7 +162,8 @@
 	}
 	g.federation = &dispatch.Federation{Local: g.dispatcher, Remotes: g.remotePeers, AcquireRemote: g.acquireRemote}
 	g.lender = &lender{acquire: g.dispatcher.Acquire, log: g.Log}
-	g.tasks = concurrency.NewGroup(context.Background())
+	g.failures = make(chan error, 1)
+	g.tasks = concurrency.NewGroup(concurrency.WithPanicHandler(context.Background(), g.handleTaskPanic))
 	g.controlClient = &controlrpc.Client{Dial: g.Dial}
 	g.quarantine = g.newQuarantine()
 	g.crashDetector = &crashDetector{Dial: g.dialEndpoint, Leaving: g.leaving, OnCrash: g.recordCrash}
@@ -175,6 +181,7 @@
 	g.metrics = newGatewayMetrics(g.Registry)
 	g.registerGauges(g.Registry)
 	g.controlServer = controlrpc.NewServer()
+	g.controlServer.OnPanic = g.recordCallPanic
 	if err := g.peering.Register(g.controlServer); err != nil {
 		return nil, err
 	}
@@ -232,6 +239,11 @@
 			c.SetConnectionClose()
 		}
 	}()
+	r.contain(r.serve)
+}
+
+// serve admits the request and serves or refuses it.
+func (r *request) serve() {
 	if refused := r.admit(); refused != nil {
 		r.refuse(refused)
 		r.end()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -23,6 +23,7 @@
 	predictionErrors prometheus.Histogram
 	suspectedCrashes prometheus.Counter
 	confirmedCrashes prometheus.Counter
+	panics           prometheus.Counter
 }
 
 // Outcomes of requests.
@@ -75,8 +76,13 @@
 		confirmedCrashes: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "mimosaward_gateway_confirmed_crashes_total", Help: "Engine starts that ended under such requests.",
 		}),
+		panics: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "mimosaward_gateway_panics_total", Help: "Requests, calls and tasks that failed because of a fault in the program.",
+		}),
 	}
-	registry.MustRegister(m.suspectedCrashes, m.confirmedCrashes, m.requests, m.refusals, m.attempts, m.timeToFirst, m.duration, m.queueTimes, m.predictionErrors)
+	registry.MustRegister(
+		m.requests, m.refusals, m.attempts, m.timeToFirst, m.duration, m.queueTimes, m.predictionErrors, m.suspectedCrashes, m.confirmedCrashes, m.panics,
+	)
 	return m
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -14,6 +14,7 @@
 
 	"github.com/mimosaward/mimosaward/internal/clientrequest"
 	"github.com/mimosaward/mimosaward/internal/configuration"
+	"github.com/mimosaward/mimosaward/internal/dispatch"
 	"github.com/mimosaward/mimosaward/platform"
 )
 
@@ -42,6 +43,12 @@
 	sentTo atomic.Pointer[string]
 	// sentAt is when the request was last sent to an endpoint.
 	sentAt time.Time
+	// grant and attempt are the current ones, which a panic releases.
+	grant   *dispatch.Grant
+	attempt *attempt
+	// mayHaveRun is true from the start of an attempt, unless the endpoint certainly did not
+	// execute the request.
+	mayHaveRun bool
 }
 
 // errCallerLeft is the cause of the cancellation of a request whose client disconnected.
--- a/internal/simulation/caller.go
+++ b/internal/simulation/caller.go
@@ -17,6 +17,8 @@
 	answerTokens int
 	start        time.Time
 	refusals     int
+	// leaves is true for a request whose caller leaves, which has no outcome.
+	leaves bool
 }
 
 // maxEventInterval is the longest interval between two events of a response that counts as
@@ -66,9 +68,9 @@
 		job.TargetTime = now
 	}
 	grant, refusal := g.federation.Acquire(ctx, job)
-	if refusal != nil {
+	if grant == nil {
 		concurrency.Sleep(ctx, r.Site.CallerDelay)
-		return refusal
+		return &refusal
 	}
 	defer grant.Release()
 	return r.forward(ctx, g, grant, req)
@@ -108,6 +110,10 @@
 				r.recordServed(req, first, late)
 				return nil
 			}
+		case <-ctx.Done():
+			timeout.Stop()
+			host.engine.Cancel(engineReq)
+			return nil
 		case <-timeout.C:
 			host.engine.Cancel(engineReq)
 			grant.Record(dispatch.Failed)
