gateway: abort a request that is still being sent when its caller leaves

What callers saw: nothing; but a request whose endpoint reads slowly reached it, and ran, long after its caller had left, and a request that a stop cut off at that moment got no answer. Cause: the function that aborts the connection was registered only after the request was sent. Change: it is registered before. Evidence: TestRequestOfCallerThatLeftIsNotSentLater failed before: a run began 1 s after the caller had left.

--- a/internal/connpool/abort_test.go
+++ b/internal/connpool/abort_test.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	exchange.Abort()
+	conn.Abort()
 	exchange.Discard()
 	if err := accepted.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
 		t.Fatal(err)
--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -26,9 +26,10 @@
 // Reused reports whether the connection carried an earlier request.
 func (c *Conn) Reused() bool { return c.reused }
 
-// abort resets the connection and drops unacknowledged data: bytes that are delayed by a
-// stalled link must not arrive after the request was abandoned.
-func (c *Conn) abort() {
+// Abort resets the connection and drops unacknowledged data: bytes that are delayed by a
+// stalled link must not arrive after the request was abandoned. It may be called more than
+// once and concurrently with other methods.
+func (c *Conn) Abort() {
 	if c.closed.Swap(true) {
 		return
 	}
--- a/internal/connpool/exchange.go
+++ b/internal/connpool/exchange.go
@@ -10,7 +10,7 @@
 )
 
 // Exchange is one request and its response on a connection. The caller must call either
-// Finish or Discard. Only Abort may be called concurrently with other methods.
+// Finish or Discard. Conn.Abort may be called concurrently; Discard must follow.
 type Exchange struct {
 	pool     *Pool
 	conn     *Conn
@@ -44,7 +44,7 @@
 		err = writer.Flush()
 	}
 	if err != nil {
-		conn.abort()
+		conn.Abort()
 		if counter.written == 0 {
 			err = errors.Mark(err, ErrNotSent)
 		}
@@ -152,13 +152,9 @@
 // connection.
 const contentLengthUntilClose = -2
 
-// Abort resets the connection, which signals the endpoint to stop. It may be called from
-// another goroutine; Discard must follow.
-func (e *Exchange) Abort() { e.conn.abort() }
-
 // Discard ends an exchange whose body was not read completely. It resets the connection.
 func (e *Exchange) Discard() {
-	e.conn.abort()
+	e.conn.Abort()
 	e.release()
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -18,7 +18,7 @@
 	grant    *dispatch.Grant
 	exchange *connpool.Exchange
 	response platform.ResponseHeader
-	// stopAbort stops the function that aborts the exchange when the client disconnects.
+	// stopAbort stops the function that aborts the connection when the request is canceled.
 	// It returns false if that function was already started.
 	stopAbort func() bool
 }
@@ -50,13 +50,15 @@
 	}
 	ranBefore := r.mayHaveRun
 	r.mayHaveRun = true
+	stopAbort := context.AfterFunc(r.ctx, conn.Abort)
 	exchange, err := g.pool.Send(conn, requestHeader, r.httpCtx.Request.Body(), r.deadline)
 	if err != nil {
+		stopAbort()
 		sent := !errors.Is(err, connpool.ErrNotSent)
 		r.mayHaveRun = ranBefore || sent
 		return nil, &failure{sent: sent, mayHaveRun: sent, err: err}
 	}
-	a := &attempt{request: r, grant: grant, exchange: exchange, stopAbort: context.AfterFunc(r.ctx, exchange.Abort)}
+	a := &attempt{request: r, grant: grant, exchange: exchange, stopAbort: stopAbort}
 	r.attempt = a
 	responseHeader, err := exchange.ReadHeader(r.deadline, !r.httpCtx.IsHead(), func(h *fasthttp.ResponseHeader) bool {
 		return r.ownsResponse(platform.ParseResponseHeader(h))
--- a/internal/integration/disconnect_test.go
+++ b/internal/integration/disconnect_test.go
@@ -94,3 +94,30 @@
 		}
 	})
 }
+
+// Guards against a request that reaches an endpoint long after its caller left, because it
+// was still being sent when the caller did.
+func TestRequestOfCallerThatLeftIsNotSentLater(t *testing.T) {
+	withInstallation(t, func(i *installation) {
+		var services []string
+		for name, endpoint := range i.endpoints {
+			if endpoint.Service == "booking" {
+				services = append(services, name)
+			}
+		}
+		for _, name := range services {
+			i.network.Freeze(gatewayName(0), name)
+		}
+		call := i.call(0, "/status/1")
+		call.DisconnectAfter = 300 * time.Millisecond
+		_, _ = platformtest.Do(i.network.ForProcess("caller").Dial, call)
+		time.Sleep(time.Second)
+		for _, name := range services {
+			i.network.Unfreeze(gatewayName(0), name)
+		}
+		time.Sleep(maxReleaseTime)
+		if runs, _ := i.runsOfAttempt(call.AttemptID); len(runs) > 0 {
+			t.Errorf("%d runs began 1 s after the caller had left", len(runs))
+		}
+	})
+}
