--- a/internal/peering/fleetgateway_test.go
+++ b/internal/peering/fleetgateway_test.go
@@ -48,6 +48,9 @@
 	return c.Conn.Write(data)
 }
 
+// noNews returns a channel that is never closed.
+func noNews() <-chan struct{} { return nil }
+
 // start starts the gateway as gateway.Gateway does.
 func (g *fleetGateway) start() {
 	f := g.fleet
@@ -85,7 +88,8 @@
 	}
 	peers := &peering.Peering{
 		Self: g.member, Table: g.table, Control: &controlrpc.Client{Dial: dial}, BulkControl: &controlrpc.Client{Dial: dialBulk}, Log: event.Discard(),
-		Digest: g.digest, Informers: g.informers, Seeds: f.seeds(), OnDigest: func(peering.Digest) {},
+		Digest: g.digest, Informers: g.informers, Seeds: f.seeds(), OnDigest: func(peering.Digest) {}, OnReport: func(peering.Report) {},
+		CellNews: noNews, News: noNews,
 	}
 	server := controlrpc.NewServer()
 	if err := peers.Register(server); err != nil {
--- a/internal/peering/spread_test.go
+++ b/internal/peering/spread_test.go
@@ -21,6 +21,7 @@
 
 // forEachFleet runs a test with idle and loaded fleets of one and of several cells.
 func forEachFleet(t *testing.T, test func(t *testing.T, f *runningFleet)) {
+	t.Parallel()
 	for _, regions := range [][]int{smallFleet, largeFleet} {
 		for _, loaded := range []bool{false, true} {
 			count := 0
@@ -28,6 +29,7 @@
 				count += gateways
 			}
 			t.Run(fmt.Sprintf("%d gateways, loaded=%t", count, loaded), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					f := newFleet(t, regions, loaded)
 					defer f.stopAll()
