platformtest: keep the platform's names out of the soak

Tests of lifecycle and integration spelled headers, paths and fields of the platform; they now take them from platformtest. No check changes.

--- a/internal/concurrency/group_test.go
+++ b/internal/concurrency/group_test.go
@@ -58,7 +58,7 @@
 }
 
 // Guards against a component that ends with a panic in a process that goes on without it and
-// never hears of it: the handler is called at once, also for a group inside of a task, and
+// never learns of it: the handler is called at once, also for a group inside of a task, and
 // once for each panic.
 func TestPanicOfComponentIsReported(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/integration/installation_test.go
+++ b/internal/integration/installation_test.go
@@ -364,7 +364,7 @@
 func (i *installation) resolve(zone int, region string) string {
 	response, err := platformtest.Do(i.network.ForProcess("caller").Dial, platformtest.Request{
 		Gateway: gatewayHost(zone) + ":8009", Method: fasthttp.MethodGet, Host: "directory",
-		Path: "/-/resolve?name=" + host + "&region=" + region + "&zone=" + strings.Replace(region, "region", "zone", 1),
+		Path: platformtest.DirectoryPath(host, region, strings.Replace(region, "region", "zone", 1)),
 	})
 	if err != nil || response.Status != fasthttp.StatusOK {
 		return ""
--- a/internal/lifecycle/call_test.go
+++ b/internal/lifecycle/call_test.go
@@ -100,12 +100,14 @@
 // encode returns the pieces of the request as they are sent.
 func (c *call) encode() [][]byte {
 	var header strings.Builder
-	fmt.Fprintf(&header, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n", c.path, callersHost, c.id, c.budget.Milliseconds())
+	fmt.Fprintf(&header, "POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n",
+		c.path, callersHost, platformtest.HeaderAttemptID, c.id, platformtest.HeaderDeadline, c.budget.Milliseconds())
 	if c.key != "" {
-		fmt.Fprintf(&header, "Api-Key: %s\r\n", c.key)
+		fmt.Fprintf(&header, "%s: %s\r\n", platformtest.HeaderAPIKey, c.key)
 	}
 	if c.stream() {
-		fmt.Fprintf(&header, "X-Model: %s\r\nX-Token-Usage: 100,%d\r\nX-Prefix-Hash: aa:10,%s:90\r\n", modelName, c.tokens, c.id)
+		fmt.Fprintf(&header, "%s: %s\r\n%s: 100,%d\r\n%s: aa:10,%s:90\r\n",
+			platformtest.HeaderModel, modelName, platformtest.HeaderTokenUsage, c.tokens, platformtest.HeaderPrefixHash, c.id)
 	} else {
 		fmt.Fprintf(&header, "%s: %d\r\n%s: %d\r\n", platformtest.HeaderProcessingMS, c.processing.Milliseconds(), platformtest.HeaderResponseBytes, c.responseBytes)
 	}
--- a/internal/lifecycle/caller_test.go
+++ b/internal/lifecycle/caller_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -15,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mimosaward/mimosaward/internal/concurrency"
+	"github.com/mimosaward/mimosaward/platform/platformtest"
 )
 
 // errAmbiguous reports a connection that was opened while a process was replaced.
@@ -180,23 +180,24 @@
 }
 
 func (c *caller) ask(client *http.Client, d *daemon) ([]*daemon, time.Duration, error) {
-	response, err := client.Get(fmt.Sprintf("http://%s/-/resolve?name=%s&region=%s&zone=%s", c.site.address(d.host, directoryPort), callersHost, regionName, zoneName))
+	response, err := client.Get("http://" + c.site.address(d.host, directoryPort) + platformtest.DirectoryPath(callersHost, regionName, zoneName))
 	if err != nil {
 		return nil, 0, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	var answer struct {
-		Addresses []string `json:"addresses"`
-		TTL       float64  `json:"ttl_s"`
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, 0, err
 	}
-	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+	directory, err := platformtest.ParseDirectoryResponse(body)
+	if err != nil {
 		return nil, 0, err
 	}
 	var named []*daemon
 	for _, gateway := range c.site.gateways {
-		if slices.Contains(answer.Addresses, c.site.address(gateway.host, callersPort)) {
+		if slices.Contains(directory.Addresses, c.site.address(gateway.host, callersPort)) {
 			named = append(named, gateway)
 		}
 	}
-	return named, min(addressTTL, time.Duration(answer.TTL*float64(time.Second))), nil
+	return named, min(addressTTL, directory.TTL), nil
 }
--- a/internal/lifecycle/connection_test.go
+++ b/internal/lifecycle/connection_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/mimosaward/mimosaward/platform/platformtest"
 )
 
 const (
@@ -98,7 +100,7 @@
 		return
 	}
 	defer func() { _ = response.Body.Close() }()
-	a.status, a.answeredID, a.signature = response.StatusCode, response.Header.Get("X-Attempt-Id"), response.Header.Get("X-Server-Signature")
+	a.status, a.answeredID, a.signature = response.StatusCode, response.Header.Get(platformtest.HeaderAttemptID), response.Header.Get(platformtest.HeaderSignature)
 	a.err = c.receiveBody(a, response)
 	// A body without a length that ends with its connection doesn't count as complete.
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
--- a/internal/peering/reader.go
+++ b/internal/peering/reader.go
@@ -73,13 +73,13 @@
 		if entry.member.Region != t.Self.Region || cells.Of(name) != ownCell || digest.Stopping || membership.Score(readerKey, name) < score {
 			continue
 		}
-		switch heard := !entry.peer.ReceivedAt.IsZero(); {
-		case heard && now.Sub(entry.peer.ReceivedAt) <= readerTimeout:
+		switch known := !entry.peer.ReceivedAt.IsZero(); {
+		case known && now.Sub(entry.peer.ReceivedAt) <= readerTimeout:
 			before++
 			if digest.ReadsStore {
 				readers++
 			}
-		case !heard && now.Sub(t.Start) < settleTime:
+		case !known && now.Sub(t.Start) < settleTime:
 			before++
 		}
 	}
--- a/internal/quarantine/digest.go
+++ b/internal/quarantine/digest.go
@@ -59,7 +59,7 @@
 	return digest
 }
 
-// Merge adds what another gateway knows. sameCell is true if that gateway told the whole
+// Merge adds what another gateway knows. sameCell is true if that gateway informs the whole
 // local cell.
 func (q *Quarantine) Merge(digest Digest, sameCell bool, now time.Time) {
 	if len(digest.Crashes) == 0 && len(digest.Rejections) == 0 {
@@ -68,11 +68,11 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	changed := false
-	for _, told := range digest.Rejections {
-		changed = q.mergeRejection(told, now) || changed
+	for _, received := range digest.Rejections {
+		changed = q.mergeRejection(received, now) || changed
 	}
-	for _, told := range digest.Crashes {
-		changed = q.addCrash(told, now) || changed
+	for _, received := range digest.Crashes {
+		changed = q.addCrash(received, now) || changed
 	}
 	if changed {
 		q.notify(!sameCell)
@@ -81,20 +81,20 @@
 }
 
 // mergeRejection adds a rejection and reports whether it was unknown.
-func (q *Quarantine) mergeRejection(told Rejection, now time.Time) bool {
-	existing := q.rejections[told.Part]
-	until := now.Add(told.Remaining)
+func (q *Quarantine) mergeRejection(received Rejection, now time.Time) bool {
+	existing := q.rejections[received.Part]
+	until := now.Add(received.Remaining)
 	switch {
-	case existing == nil || existing.strikes < told.Strikes:
-		q.reject(told.Part, told.Strikes, until.Add(-rejectionTime(told.Strikes)), Decision{By: told.By})
-		if added := q.rejections[told.Part]; told.Lifted && added != nil {
-			q.lift(told.Part, added, now)
+	case existing == nil || existing.strikes < received.Strikes:
+		q.reject(received.Part, received.Strikes, until.Add(-rejectionTime(received.Strikes)), Decision{By: received.By})
+		if added := q.rejections[received.Part]; received.Lifted && added != nil {
+			q.lift(received.Part, added, now)
 		}
 		return true
-	case existing.strikes > told.Strikes:
+	case existing.strikes > received.Strikes:
 		return false
-	case told.Lifted && !existing.lifted:
-		q.lift(told.Part, existing, now)
+	case received.Lifted && !existing.lifted:
+		q.lift(received.Part, existing, now)
 		return true
 	case until.Before(existing.until):
 		existing.until = until
--- a/internal/simulation/leaver.go
+++ b/internal/simulation/leaver.go
@@ -8,10 +8,10 @@
 )
 
 const (
-	// shortPatience is about the time in which a gateway asks another cell, longPatience the
+	// shortStay is about the time in which a gateway asks another cell, longStay the
 	// time in which most responses have begun.
-	shortPatience = 20 * time.Millisecond
-	longPatience  = 600 * time.Millisecond
+	shortStay = 20 * time.Millisecond
+	longStay  = 600 * time.Millisecond
 	// maxRepeats is the largest number of times that a caller that left sends its request
 	// again.
 	maxRepeats = 2
@@ -22,11 +22,11 @@
 func (r *Run) runLeaver(ctx context.Context, kind Kind, zone int) {
 	repeats := int(r.uniform(maxRepeats + 1))
 	for range repeats + 1 {
-		patience := shortPatience
+		stay := shortStay
 		if r.uniform(1) < 0.5 {
-			patience = longPatience
+			stay = longStay
 		}
-		attemptCtx, leave := context.WithTimeout(ctx, time.Duration(r.uniform(float64(patience))))
+		attemptCtx, leave := context.WithTimeout(ctx, time.Duration(r.uniform(float64(stay))))
 		req := &request{kind: kind, zone: zone, promptTokens: r.sampleTokens(kind.PromptTokens), answerTokens: r.sampleTokens(kind.AnswerTokens), start: time.Now(), leaves: true}
 		r.attempt(attemptCtx, req)
 		if attemptCtx.Err() != nil {
