--- a/internal/integration/serverfailure_test.go
+++ b/internal/integration/serverfailure_test.go
@@ -37,15 +37,15 @@
 		network := i.network.ForProcess(name)
 		d := i.deployment(name, gatewayHost(0), 0)
 		d.Listen = deployment.Listen{Clients: gatewayAddress(0), Readiness: gatewayHost(0) + ":8002", Directory: gatewayHost(0) + ":8009", Control: gatewayHost(0) + ":8000"}
-		var directory net.Listener
+		directories := make(chan net.Listener, 1)
 		g := &gateway.Gateway{
 			Deployment: d, Log: i.logger(name), Registry: prometheus.NewRegistry(), Dial: withContext(network.Dial), DialStore: network.Dial,
 			Disconnected: fakes.PeerClosed, Stale: fakes.PeerClosed,
 			Listen: func(address string) (net.Listener, error) {
 				listener, err := network.Listen(address)
 				if strings.HasSuffix(address, ":8009") {
-					directory = failingListener{listener}
-					return directory, err
+					directories <- failingListener{listener}
+					return failingListener{listener}, err
 				}
 				return listener, err
 			},
@@ -66,7 +66,7 @@
 			}
 		})
 		time.Sleep(200 * time.Millisecond)
-		if err := directory.Close(); err != nil {
+		if err := (<-directories).Close(); err != nil {
 			t.Error(err)
 		}
 		callers.Wait()
