--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -35,6 +35,8 @@
 	// coldUntil is when the cold start of the incarnation ends.
 	coldUntil   time.Time
 	incarnation int64
+	// announced is what the endpoint said about itself.
+	announced announced
 }
 
 // peerLoad is the load of another gateway at an endpoint, as its last digest reported it.
--- a/internal/dispatch/endpointstats.go
+++ b/internal/dispatch/endpointstats.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/mimosaward/mimosaward/internal/clusterstate"
 )
 
 // EndpointStats summarizes the load and health of an endpoint.
@@ -16,6 +18,8 @@
 	// StatusAge is the age of the last status from the engine's loader, 0 if there is
 	// none.
 	StatusAge time.Duration
+	// Announcement is what the endpoint said about itself.
+	Announcement clusterstate.Announcement
 }
 
 // EndpointStats returns the statistics of each endpoint, ordered by ID.
@@ -25,7 +29,7 @@
 	now := time.Now()
 	list := make([]EndpointStats, 0, len(d.endpoints))
 	for id, state := range d.endpoints {
-		stats := EndpointStats{ID: id, FailureRate: state.health.decayedFailureRate(now)}
+		stats := EndpointStats{ID: id, FailureRate: state.health.decayedFailureRate(now), Announcement: state.announced.Announcement}
 		stats.Running, stats.PendingPrefill, _ = state.totalLoad(now, d.demandRatios)
 		if !state.statusAt.IsZero() {
 			stats.StatusAge = now.Sub(state.statusAt)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/mimosaward/mimosaward/internal/connpool"
 	"github.com/mimosaward/mimosaward/internal/dispatch"
+	"github.com/mimosaward/mimosaward/internal/event"
 	"github.com/mimosaward/mimosaward/platform"
 )
 
@@ -68,6 +69,7 @@
 		return nil, &failure{sent: true, mayHaveRun: true, err: err}
 	}
 	a.response = platform.ParseResponseHeader(responseHeader)
+	r.recordAnnouncement(a)
 	if a.response.NotExecuted {
 		r.mayHaveRun = ranBefore
 		a.discard()
@@ -79,6 +81,19 @@
 	return a, nil
 }
 
+// recordAnnouncement records what the endpoint said about itself. A response from another
+// endpoint at the address says nothing about it.
+func (r *request) recordAnnouncement(a *attempt) {
+	endpoint, announcement := a.grant.Endpoint, a.response.Announcement
+	if a.response.Status == fasthttp.StatusMisdirectedRequest || !r.gateway.dispatcher.RecordAnnouncement(endpoint, announcement) {
+		return
+	}
+	r.gateway.Log.Emit(event.EndpointAnnounced, event.Fields{
+		"request": r.clientRequest.ID, "endpoint": endpoint.ID, "incarnation": endpoint.Incarnation, "limited": announcement.Limited,
+		"requestRate": announcement.RequestRate, "leaving": announcement.Leaving,
+	})
+}
+
 // ownsResponse reports whether a response belongs to the request. A refusal may carry no
 // request ID.
 func (r *request) ownsResponse(response platform.ResponseHeader) bool {
--- a/internal/gateway/collectors.go
+++ b/internal/gateway/collectors.go
@@ -17,6 +17,7 @@
 	endpointPendingPrefill = prometheus.NewDesc("mimosaward_endpoint_unread_tokens", "Prompt tokens at the endpoint that were not answered yet.", []string{"endpoint"}, nil)
 	endpointFailureRate    = prometheus.NewDesc("mimosaward_endpoint_failure_share", "Recent share of requests that the endpoint failed.", []string{"endpoint"}, nil)
 	endpointStatusAge      = prometheus.NewDesc("mimosaward_endpoint_status_age_seconds", "Age of what the engine's loader said.", []string{"endpoint"}, nil)
+	endpointRequestLimit   = prometheus.NewDesc("mimosaward_endpoint_request_limit", "Requests a second that the endpoint takes from all gateways together, while it limits them.", []string{"endpoint"}, nil)
 	serviceQueued          = prometheus.NewDesc("mimosaward_service_waiting", "Requests that wait for an endpoint.", []string{"service"}, nil)
 	serviceDemand          = prometheus.NewDesc("mimosaward_service_demand", "Requests a second for a service.", []string{"service"}, nil)
 	informerRevision       = prometheus.NewDesc("mimosaward_copy_revision", "Revision of the copy of a kind of the store's objects.", []string{"kind"}, nil)
@@ -31,7 +32,7 @@
 
 // Describe implements prometheus.Collector.
 func (c *endpointCollector) Describe(out chan<- *prometheus.Desc) {
-	for _, description := range []*prometheus.Desc{endpointRunning, endpointPendingPrefill, endpointFailureRate, endpointStatusAge, serviceQueued, serviceDemand} {
+	for _, description := range []*prometheus.Desc{endpointRunning, endpointPendingPrefill, endpointFailureRate, endpointStatusAge, endpointRequestLimit, serviceQueued, serviceDemand} {
 		out <- description
 	}
 }
@@ -46,6 +47,9 @@
 		out <- prometheus.MustNewConstMetric(endpointPendingPrefill, prometheus.GaugeValue, float64(stats.PendingPrefill), stats.ID)
 		out <- prometheus.MustNewConstMetric(endpointFailureRate, prometheus.GaugeValue, stats.FailureRate, stats.ID)
 		out <- prometheus.MustNewConstMetric(endpointStatusAge, prometheus.GaugeValue, stats.StatusAge.Seconds(), stats.ID)
+		if stats.Announcement.Limited {
+			out <- prometheus.MustNewConstMetric(endpointRequestLimit, prometheus.GaugeValue, stats.Announcement.RequestRate, stats.ID)
+		}
 	}
 	for _, demand := range c.dispatcher.Demands() {
 		out <- prometheus.MustNewConstMetric(serviceQueued, prometheus.GaugeValue, float64(demand.Waiting), demand.Service)
