dispatch: one gateway holds the request limit of each endpoint

Callers saw requests pile up at endpoints in need: an endpoint that named a limit of 2.8 to 3.5 requests a second received 38 to 47 in 4 s, 22 to 26 allowed.

Cause: gateways did not read the limit; and had they, nothing could keep a bound on the sum of all gateways, since each counts its own requests. Class: a bound on a shared resource without one place that keeps it.

Change: while an endpoint names a limit, one gateway holds it: the owner, or for shared endpoints the first ready gateway in rendezvous order, of the cell or of the fleet. It paces the requests by tokens, and no other gateway sends there. A gateway that has no other endpoint for a request asks the holder through the call with which cells lend endpoints. A new holder waits a second, since the old one may still send; stopping gateways hold no limit. Limits, their changes and their ends spread in digests and reports, the newest by the time of the response wins, and a lender hears of changes from the borrower. A limit below one in ten seconds is probed every ten seconds. If all endpoints are used up, the request is refused at once as endpointLimited.

--- a/internal/dispatch/candidate.go
+++ b/internal/dispatch/candidate.go
@@ -28,25 +28,41 @@
 	negligibleDelay = 120 * time.Millisecond
 )
 
-// selectEndpoint returns the best of the endpoints that can take the job now, and the
-// number of endpoints that may take it now or later.
-func (d *Dispatcher) selectEndpoint(job *Job, config *configuration.Service, snapshots []endpointSnapshot, now time.Time) (best candidate, count int) {
+// selection is the result of the search for an endpoint.
+type selection struct {
+	// best is the best endpoint that can take the job now; it has no snapshot if there is none.
+	best candidate
+	// count is the number of endpoints that may take the job now or soon.
+	count int
+	// limitWait is the shortest time until an endpoint whose limit is used up may take the
+	// job, 0 if there is no such endpoint.
+	limitWait time.Duration
+}
+
+// selectEndpoint searches for an endpoint that can take the job.
+func (d *Dispatcher) selectEndpoint(job *Job, config *configuration.Service, snapshots []endpointSnapshot, now time.Time) (found selection) {
 	minVersion := d.minVersion(job)
 	for index := range snapshots {
 		snapshot := &snapshots[index]
 		if !eligible(job, snapshot, minVersion, now) {
 			continue
 		}
-		count++
+		if snapshot.limited && (!snapshot.state.limit.held || snapshot.limitWait > maxPlainQueueTime) {
+			if wait := max(snapshot.limitWait, noEndpointRetryAfter); found.limitWait == 0 || wait < found.limitWait {
+				found.limitWait = wait
+			}
+			continue
+		}
+		found.count++
 		if !snapshot.slotAvailable {
 			continue
 		}
 		next, onTime := d.evaluate(job, config, snapshot, now)
-		if onTime && (best.endpointSnapshot == nil || next.betterThan(&best)) {
-			best = next
+		if onTime && (found.best.endpointSnapshot == nil || next.betterThan(&found.best)) {
+			found.best = next
 		}
 	}
-	return best, count
+	return found
 }
 
 // eligible reports whether the job may be sent to the endpoint now or later.
--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -24,11 +24,18 @@
 			if !snapshot.ownedBySelf || version == 0 || version < minVersion {
 				continue
 			}
+			slots := snapshot.endpoint.Slots
+			if snapshot.limited {
+				slots = min(slots, int(snapshot.state.limit.tokens))
+			}
+			if slots <= 0 {
+				continue
+			}
 			capacity.Endpoints++
-			capacity.Slots += snapshot.endpoint.Slots
+			capacity.Slots += slots
 			capacity.PendingPrefill += snapshot.pendingPrefill
 			if d.underColdRate(config, snapshot.state, now) && !snapshot.degraded {
-				capacity.Free += max(0, snapshot.endpoint.Slots-ownerReservedSlots-snapshot.running)
+				capacity.Free += max(0, min(slots, snapshot.endpoint.Slots-ownerReservedSlots-snapshot.running))
 			}
 		}
 		list = append(list, capacity)
--- a/internal/dispatch/digest.go
+++ b/internal/dispatch/digest.go
@@ -81,6 +81,7 @@
 	digest.Demands = d.demands(now)
 	digest.Capacities = d.capacities(now)
 	digest.Statuses = d.ownedStatuses(now)
+	digest.Announced = d.announcements(now)
 }
 
 // Demands returns the gateway's own load for each service.
@@ -119,5 +120,7 @@
 		current.lending.renew(now, current.ownedBy(d.Self.Name), d.peers, service)
 		maps.Copy(lentTo, current.lending.lentTo)
 	}
+	// Only the holder of a limit sends requests to the endpoint.
+	maps.DeleteFunc(lentTo, func(id, _ string) bool { return d.endpoints[id] != nil && d.endpoints[id].limit.held })
 	return lentTo
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -35,6 +35,12 @@
 	// requests to an engine, given the ID and the region of its endpoint. It returns nil if
 	// they do so to every engine.
 	CellEndpoints func() func(id, region string) bool
+	// FleetGateways returns the names of the gateways of all cells that take requests. It may
+	// be nil if there is only this one.
+	FleetGateways func() []string
+	// Stopping reports whether this gateway is about to stop. A nil Stopping means that it is
+	// not.
+	Stopping func() bool
 
 	mu        sync.Mutex
 	endpoints map[string]*endpointState
@@ -49,6 +55,11 @@
 	gateways []peering.Member
 	// snapshots is the buffer that snapshotEndpoints and snapshotEndpoint reuse.
 	snapshots []endpointSnapshot
+	// limitSeenAt is when an endpoint was last known to have a request limit.
+	limitSeenAt time.Time
+	// fleetGateways are the gateways of all cells that took requests at fleetCheckedAt.
+	fleetGateways  []string
+	fleetCheckedAt time.Time
 }
 
 // Acquire returns a grant for an endpoint or, if the grant is nil, the refusal. It queues the
@@ -64,16 +75,18 @@
 }
 
 // predict returns the predicted latency of the job at the endpoint that could take it now.
-// If there is none, it returns a refusal, whose reason is NoEndpoint if no endpoint of the
-// cell may take the job.
+// If there is none, it returns a refusal, whose reason is NoEndpoint or EndpointLimited if no
+// endpoint of the cell may take the job soon.
 func (d *Dispatcher) predict(job *Job) (time.Duration, *Refusal) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	best, count, _ := d.findEndpoint(job, now)
+	found, _ := d.findEndpoint(job, now)
+	best := found.best
 	switch {
-	case count == 0:
-		return 0, &Refusal{Reason: NoEndpoint, RetryAfter: noEndpointRetryAfter}
+	case found.count == 0:
+		refusal := found.refusal()
+		return 0, &refusal
 	case best.endpointSnapshot == nil || d.service(job.Service).hasJobAhead(job):
 		return 0, &Refusal{Reason: Overloaded, RetryAfter: overloadedRetryAfter}
 	default:
--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -37,6 +37,8 @@
 	incarnation int64
 	// announced is what the endpoint said about itself.
 	announced announced
+	// limit paces the requests to the endpoint while it limits them.
+	limit requestLimit
 }
 
 // peerLoad is the load of another gateway at an endpoint, as its last digest reported it.
--- a/internal/dispatch/federation.go
+++ b/internal/dispatch/federation.go
@@ -17,6 +17,9 @@
 	maxLenders = 2
 	// lenderExclusion is how long a gateway that did not respond is not asked again.
 	lenderExclusion = time.Second
+	// holderExclusion is how long the holder of a request limit is not asked again after it
+	// granted nothing.
+	holderExclusion = 50 * time.Millisecond
 	// regionMargin and remoteMargin are how much lower the latency that a report predicts
 	// must be for a job to leave a cell that could serve it: about the delay that requests
 	// since the report cause, and the round trip to another region.
@@ -33,6 +36,9 @@
 	Local *Dispatcher
 	// Remotes returns the latest reports on the live gateways of other cells.
 	Remotes func() []peering.Peer
+	// Member returns the member record of a live gateway of any cell. It may be nil if there is
+	// only this one.
+	Member func(name string) (peering.Member, bool)
 	// AcquireRemote asks a gateway of another cell for an endpoint. It returns an error if
 	// the gateway did not respond, and otherwise the refusal if the grant is nil. Once ctx is done, its results matter only in that a
 	// grant is released.
@@ -62,13 +68,13 @@
 // another cell if that is likely to serve it sooner. Otherwise it is queued in the own cell
 // or, if that has no endpoint for the job, in another one.
 func (f *Federation) Acquire(ctx context.Context, job *Job) (*Grant, Refusal) {
+	f.Local.recordDemand(job)
 	if job.Model == "" || len(f.Remotes()) == 0 {
-		return f.Local.Acquire(ctx, job)
+		return f.acquireInCell(ctx, job)
 	}
-	f.Local.recordDemand(job)
 	local, refusal := f.Local.predict(job)
 	for attempt := range maxLenders {
-		lender, ok := f.chooseLender(job, refusal != nil && refusal.Reason == NoEndpoint)
+		lender, ok := f.chooseLender(job, refusal != nil && refusal.Reason.unservable())
 		if !ok || (refusal == nil && (attempt > 0 || lender.predicted+f.margin(lender.member) >= local)) {
 			break
 		}
@@ -85,16 +91,78 @@
 		if grant != nil {
 			return grant, Refusal{}
 		}
-		if err == nil && refusal != nil && refusal.Reason == NoEndpoint {
+		if err == nil && refusal != nil && refusal.Reason.unservable() {
 			refusal = &remoteRefusal
 		}
 	}
-	if refusal != nil && refusal.Reason == NoEndpoint {
+	if refusal != nil {
+		if grant := f.askLimitHolders(ctx, job); grant != nil {
+			return grant, Refusal{}
+		}
+	}
+	if refusal != nil && refusal.Reason.unservable() {
 		return nil, *refusal
 	}
 	return f.Local.AwaitEndpoint(ctx, job)
 }
 
+// acquireInCell acquires an endpoint of the own cell or service. If there is none, it asks the
+// gateways that hold the request limits of the endpoints.
+func (f *Federation) acquireInCell(ctx context.Context, job *Job) (*Grant, Refusal) {
+	if f.Local.LimitsKnown() {
+		if _, refusal := f.Local.predict(job); refusal != nil {
+			if grant := f.askLimitHolders(ctx, job); grant != nil {
+				return grant, Refusal{}
+			}
+		}
+	}
+	return f.Local.AwaitEndpoint(ctx, job)
+}
+
+// askLimitHolders asks gateways that hold the request limits of endpoints for a grant. It
+// returns nil if there is none.
+func (f *Federation) askLimitHolders(ctx context.Context, job *Job) *Grant {
+	asked := 0
+	for _, name := range f.Local.LimitHolders(job) {
+		member, alive := f.Member(name)
+		if asked == maxLenders || ctx.Err() != nil {
+			return nil
+		}
+		if !alive || f.excluded(name) {
+			continue
+		}
+		asked++
+		grant, _, err := f.AcquireRemote(ctx, member, job)
+		if grant != nil && ctx.Err() != nil {
+			grant.Release()
+			return nil
+		}
+		if grant != nil {
+			return grant
+		}
+		f.exclude(name, err)
+	}
+	return nil
+}
+
+// excluded reports whether a gateway is not asked for now.
+func (f *Federation) excluded(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Now().Before(f.lender(name).excludedUntil)
+}
+
+// exclude excludes a gateway that granted nothing, or did not respond, for a while.
+func (f *Federation) exclude(name string, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	duration := holderExclusion
+	if err != nil {
+		duration = lenderExclusion
+	}
+	f.lender(name).excludedUntil = time.Now().Add(duration)
+}
+
 // margin returns how much lower the predicted latency at a lender must be.
 func (f *Federation) margin(member peering.Member) time.Duration {
 	if member.Region == f.Local.Self.Region {
--- a/internal/dispatch/grant.go
+++ b/internal/dispatch/grant.go
@@ -57,6 +57,8 @@
 	// Lender names the gateway of another cell that granted the job, empty if this
 	// gateway's own dispatcher did.
 	Lender string
+	// Announcement is what the gateway that granted the job knew of the endpoint.
+	Announcement clusterstate.Announcement
 	// Candidates is the number of endpoints that could take the job.
 	Candidates int
 }
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -54,6 +54,12 @@
 	NoEndpoint Reason = "noEndpoint"
 	// Overloaded means that no endpoint can serve the job in time.
 	Overloaded Reason = "overloaded"
+	// EndpointLimited means that the endpoints that may take the job take no more requests
+	// for now.
+	EndpointLimited Reason = "endpointLimited"
 	// ClientDisconnected means that the client disconnected while the job was queued.
 	ClientDisconnected Reason = "callerLeft"
 )
+
+// unservable reports whether no endpoint may take the job soon.
+func (r Reason) unservable() bool { return r == NoEndpoint || r == EndpointLimited }
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -7,26 +7,25 @@
 	"github.com/mimosaward/mimosaward/internal/configuration"
 )
 
-// findEndpoint returns the best endpoint that can take the job now, the number of endpoints
-// that may take it now or later, and the configuration of its service.
-func (d *Dispatcher) findEndpoint(job *Job, now time.Time) (best candidate, count int, config *configuration.Service) {
+// findEndpoint returns the endpoints that can take the job, and the configuration of its
+// service.
+func (d *Dispatcher) findEndpoint(job *Job, now time.Time) (selection, *configuration.Service) {
 	config, exists := d.Service(job.Service)
 	if !exists {
-		return candidate{}, 0, nil
+		return selection{}, nil
 	}
-	best, count = d.selectEndpoint(job, config, d.snapshotEndpoints(config, now), now)
-	return best, count, config
+	return d.selectEndpoint(job, config, d.snapshotEndpoints(config, now), now), config
 }
 
 // admit assigns the job to an endpoint, queues it, or refuses it.
 func (d *Dispatcher) admit(service *serviceState, queued *queuedJob, now time.Time) {
-	best, count, config := d.findEndpoint(queued.job, now)
-	if count == 0 {
-		queued.refuse(Refusal{Reason: NoEndpoint, RetryAfter: noEndpointRetryAfter})
+	found, config := d.findEndpoint(queued.job, now)
+	if found.count == 0 {
+		queued.refuse(found.refusal())
 		return
 	}
-	if best.endpointSnapshot != nil && !service.hasJobAhead(queued.job) {
-		d.assign(queued, best, count, now)
+	if found.best.endpointSnapshot != nil && !service.hasJobAhead(queued.job) {
+		d.assign(queued, found, now)
 		return
 	}
 	queued.deadline = queueDeadline(config, queued.job, now)
@@ -50,6 +49,14 @@
 	maxPlainQueueTime = 200 * time.Millisecond
 )
 
+// refusal returns the refusal of a job that no endpoint may take soon.
+func (s selection) refusal() Refusal {
+	if s.limitWait > 0 {
+		return Refusal{Reason: EndpointLimited, RetryAfter: max(s.limitWait, noEndpointRetryAfter)}
+	}
+	return Refusal{Reason: NoEndpoint, RetryAfter: noEndpointRetryAfter}
+}
+
 // queueDeadline returns the time until which a job may be queued.
 func queueDeadline(config *configuration.Service, job *Job, now time.Time) time.Time {
 	if config.Engine == nil {
@@ -69,13 +76,13 @@
 		return
 	}
 	for _, queued := range slices.Clone(service.queue) {
-		best, count := d.selectEndpoint(queued.job, config, snapshots, now)
-		if best.endpointSnapshot == nil {
+		found := d.selectEndpoint(queued.job, config, snapshots, now)
+		if found.best.endpointSnapshot == nil {
 			continue
 		}
 		service.remove(queued)
-		snapshot := best.endpointSnapshot
-		d.assign(queued, best, count, now)
+		snapshot := found.best.endpointSnapshot
+		d.assign(queued, found, now)
 		snapshot.running, snapshot.pendingPrefill, snapshot.digestAge = snapshot.state.totalLoad(now, d.demandRatios)
 		snapshot.slotAvailable = d.hasFreeSlot(snapshot, config, now)
 	}
@@ -98,10 +105,13 @@
 	}
 }
 
-// assign grants the job the endpoint of the candidate and adds the job to its load.
-func (d *Dispatcher) assign(queued *queuedJob, best candidate, count int, now time.Time) {
-	job := queued.job
+// assign grants the job the best endpoint and adds the job to its load.
+func (d *Dispatcher) assign(queued *queuedJob, found selection, now time.Time) {
+	job, best := queued.job, found.best
 	best.state.running++
+	if best.limited {
+		best.state.limit.tokens--
+	}
 	best.state.pendingPrefill += job.PromptTokens
 	best.state.recordSend(now, job.PromptTokens)
 	local := &localGrant{dispatcher: d, state: best.state, endpoint: *best.endpoint, job: job, prefillPending: true}
@@ -109,7 +119,7 @@
 		Endpoint: *best.endpoint, Version: job.Version, grantedAt: now, record: local.apply,
 		Decision: Decision{
 			Running: best.running, PendingPrefill: best.pendingPrefill, DigestAge: best.digestAge, PredictedLatency: best.predicted,
-			QueueTime: now.Sub(queued.enqueuedAt), Owned: best.ownedBySelf, Candidates: count,
+			QueueTime: now.Sub(queued.enqueuedAt), Owned: best.ownedBySelf, Candidates: found.count, Announcement: best.state.announced.Announcement,
 		},
 	})
 }
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -22,6 +22,11 @@
 	ownedBySelf bool
 	degraded    bool
 	distance    int
+	// limited is true if the endpoint limits its requests. limitHolder is the gateway that
+	// holds the limit, and limitWait the time until that may send one if it is this gateway.
+	limited     bool
+	limitHolder string
+	limitWait   time.Duration
 	// slotAvailable is true if the endpoint can take one more request from this gateway.
 	slotAvailable bool
 }
@@ -97,6 +102,7 @@
 		snapshot.owner = owners.owners[endpoint.ID]
 		snapshot.ownedBySelf = snapshot.owner == d.Self.Name
 	}
+	snapshot.limited, snapshot.limitWait, snapshot.limitHolder = d.updateLimit(endpoint, state, owners, now)
 	snapshot.running, snapshot.pendingPrefill, snapshot.digestAge = state.totalLoad(now, d.demandRatios)
 	snapshot.slotAvailable = d.hasFreeSlot(&snapshot, config, now)
 	return snapshot, true
@@ -104,6 +110,9 @@
 
 // hasFreeSlot reports whether the endpoint can take one more request from this gateway.
 func (d *Dispatcher) hasFreeSlot(snapshot *endpointSnapshot, config *configuration.Service, now time.Time) bool {
+	if snapshot.limited && (!snapshot.state.limit.held || snapshot.state.limit.tokens < 1) {
+		return false
+	}
 	slots := snapshot.endpoint.Slots + overcommittedSlots
 	if snapshot.owner != "" && !snapshot.ownedBySelf {
 		if !snapshot.state.isLentBy(snapshot.owner, d.Self.Name, now) {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -102,9 +102,9 @@
 	RequestSent        = Event{4101, logrus.InfoLevel, "request sent to an endpoint", noAction}
 	RequestEnded       = Event{4102, logrus.InfoLevel, "request ended", noAction}
 	RequestRefused     = Event{4103, logrus.InfoLevel, "request refused", "Check the reason in the record."}
-	EndpointLent       = Event{4105, logrus.InfoLevel, "endpoint granted to a request of another cell", noAction}
-	EndpointNotLent    = Event{4106, logrus.InfoLevel, "no endpoint granted to a request of another cell", "Check the reason in the record."}
-	LenderUnreachable  = Event{4107, logrus.WarnLevel, "gateway of another cell does not respond", "If this repeats, check that gateway and the network to it."}
+	EndpointLent       = Event{4105, logrus.InfoLevel, "endpoint granted to a request of another gateway", noAction}
+	EndpointNotLent    = Event{4106, logrus.InfoLevel, "no endpoint granted to a request of another gateway", "Check the reason in the record."}
+	LenderUnreachable  = Event{4107, logrus.WarnLevel, "gateway that grants endpoints does not respond", "If this repeats, check that gateway and the network to it."}
 	AttemptFailed      = Event{4104, logrus.WarnLevel, "endpoint failed to serve a request", "If this repeats for an endpoint, check the endpoint and the network to it."}
 	CrashSuspected     = Event{4108, logrus.WarnLevel, "connection to an engine broke under a request that it had begun or not yet answered", "If the engine ended, an event of the confirmed end follows; otherwise check the network to the engine."}
 	CrashConfirmed     = Event{4109, logrus.WarnLevel, "engine ended under requests", "The prompt parts of these requests are suspected until a request with them is answered."}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/mimosaward/mimosaward/internal/connpool"
 	"github.com/mimosaward/mimosaward/internal/dispatch"
 	"github.com/mimosaward/mimosaward/internal/event"
+	"github.com/mimosaward/mimosaward/internal/peering"
 	"github.com/mimosaward/mimosaward/platform"
 )
 
@@ -85,7 +86,13 @@
 // endpoint at the address says nothing about it.
 func (r *request) recordAnnouncement(a *attempt) {
 	endpoint, announcement := a.grant.Endpoint, a.response.Announcement
-	if a.response.Status == fasthttp.StatusMisdirectedRequest || !r.gateway.dispatcher.RecordAnnouncement(endpoint, announcement) {
+	if a.response.Status == fasthttp.StatusMisdirectedRequest {
+		return
+	}
+	if decision := a.grant.Decision; decision.Lender != "" && decision.Announcement != announcement {
+		r.gateway.reportAnnouncement(decision.Lender, peering.Announced{Endpoint: endpoint.ID, Incarnation: endpoint.Incarnation, Announcement: announcement})
+	}
+	if !r.gateway.dispatcher.RecordAnnouncement(endpoint, announcement) {
 		return
 	}
 	r.gateway.Log.Emit(event.EndpointAnnounced, event.Fields{
--- a/internal/gateway/borrow.go
+++ b/internal/gateway/borrow.go
@@ -90,6 +90,21 @@
 	}
 }
 
+// reportAnnouncement reports what an endpoint said about itself to the gateway that granted it.
+func (g *Gateway) reportAnnouncement(lender string, announced peering.Announced) {
+	member, alive := g.peerTable.AliveMember(lender)
+	if !alive {
+		return
+	}
+	g.tasks.GoBrief(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, outcomeTimeout)
+		defer cancel()
+		if err := g.controlClient.Call(ctx, member.Control, announceMethod, &announced, new(bool)); err != nil {
+			g.Log.Emit(event.LenderUnreachable, event.Fields{"gateway": lender, "endpoint": announced.Endpoint, "error": err.Error()})
+		}
+	})
+}
+
 // expireGrants releases the expired grants to other gateways until ctx is done.
 func (g *Gateway) expireGrants(ctx context.Context) {
 	for concurrency.Tick(ctx, expiryInterval) {
--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -23,5 +23,15 @@
 		g.observer.Rollouts().Merge(rollout.Model, rollout.Version, time.Now().Add(-rollout.Age))
 	}
 	g.quarantine.Merge(digest.Quarantine, true, time.Now())
+	g.dispatcher.RecordAnnounced(digest.Announced, 0)
+	for _, report := range digest.Reports {
+		g.dispatcher.RecordAnnounced(report.Announced, report.Age)
+	}
 	g.dispatcher.RecordDigest(digest)
 }
+
+// applyReport applies the report of another cell.
+func (g *Gateway) applyReport(report peering.Report) {
+	g.quarantine.Merge(report.Quarantine, false, time.Now())
+	g.dispatcher.RecordAnnounced(report.Announced, report.Age)
+}
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -117,6 +117,17 @@
 	return members
 }
 
+// readyGateways returns the names of the other gateways that are alive and accept requests.
+func (g *Gateway) readyGateways() []string {
+	var names []string
+	for _, member := range g.readyMembers() {
+		if member.Name != g.self.Name {
+			names = append(names, member.Name)
+		}
+	}
+	return names
+}
+
 // hostRegions returns the regions that every route of a host allows. It returns nil if no
 // route restricts its regions, and also if no region is allowed by all routes.
 func hostRegions(config *configuration.Configuration, host string) []string {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -158,10 +158,10 @@
 	g.observer.AddInformer(gatewayKind, memberCoalesceDelay, g.applyMembers)
 	g.dispatcher = &dispatch.Dispatcher{
 		Self: g.self, View: g.observer.ClusterState, Service: g.lookUpService, MinVersion: g.minVersion, Peers: g.peerTable.CellPeers,
-		CellEndpoints: g.peerTable.CellEndpoints,
+		CellEndpoints: g.peerTable.CellEndpoints, FleetGateways: g.readyGateways, Stopping: g.drain.started,
 	}
-	g.federation = &dispatch.Federation{Local: g.dispatcher, Remotes: g.remotePeers, AcquireRemote: g.acquireRemote}
-	g.lender = &lender{acquire: g.dispatcher.Acquire, log: g.Log}
+	g.federation = &dispatch.Federation{Local: g.dispatcher, Remotes: g.remotePeers, Member: g.peerTable.AliveMember, AcquireRemote: g.acquireRemote}
+	g.lender = &lender{acquire: g.dispatcher.Acquire, announce: g.dispatcher.RecordAnnounced, log: g.Log}
 	g.failures = make(chan error, 1)
 	g.tasks = concurrency.NewGroup(concurrency.WithPanicHandler(context.Background(), g.handleTaskPanic))
 	g.controlClient = &controlrpc.Client{Dial: g.Dial}
@@ -170,7 +170,7 @@
 	g.peering = &peering.Peering{
 		Self: g.self, Table: g.peerTable, Control: g.controlClient, BulkControl: &controlrpc.Client{Dial: g.Dial}, Log: g.Log,
 		Digest: g.digest, Informers: g.observer.Informers(), Seeds: g.Deployment.Seeds, OnDigest: g.applyDigest,
-		OnReport: func(report peering.Report) { g.quarantine.Merge(report.Quarantine, false, time.Now()) },
+		OnReport: g.applyReport,
 		CellNews: g.quarantine.CellNews, News: g.quarantine.News,
 	}
 	g.loaderPoller = &loaderPoller{
--- a/internal/gateway/lend.go
+++ b/internal/gateway/lend.go
@@ -8,6 +8,7 @@
 	"github.com/mimosaward/mimosaward/internal/clusterstate"
 	"github.com/mimosaward/mimosaward/internal/dispatch"
 	"github.com/mimosaward/mimosaward/internal/event"
+	"github.com/mimosaward/mimosaward/internal/peering"
 )
 
 // The rpc service with which gateways of other cells acquire endpoints of this gateway.
@@ -15,6 +16,7 @@
 	lendingService = "Lending"
 	acquireMethod  = lendingService + ".Acquire"
 	outcomeMethod  = lendingService + ".Outcome"
+	announceMethod = lendingService + ".Announce"
 )
 
 // AcquireArgs describes the job of a gateway in another cell. Times are relative, because
@@ -48,7 +50,9 @@
 // until they are released or the job's deadline passes.
 type lender struct {
 	acquire func(ctx context.Context, job *dispatch.Job) (*dispatch.Grant, dispatch.Refusal)
-	log     *event.Logger
+	// announce records what endpoints said to other gateways.
+	announce func(list []peering.Announced, age time.Duration)
+	log      *event.Logger
 
 	mu     sync.Mutex
 	lastID int64
@@ -118,6 +122,12 @@
 	return nil
 }
 
+// Announce records what an endpoint said to the gateway to which it was granted.
+func (l *lender) Announce(args *peering.Announced, _ *bool) error {
+	l.announce([]peering.Announced{*args}, 0)
+	return nil
+}
+
 // releaseExpired releases the grants whose job's deadline has passed, for example because
 // the other gateway failed.
 func (l *lender) releaseExpired() {
--- /dev/null
+++ b/internal/integration/norace_test.go
@@ -0,0 +1,13 @@
+//go:build !race
+
+package integration
+
+// plannedFleets returns fleets of the planned size of a large deployment.
+func plannedFleets() map[string]limitedFleet {
+	gateways := [zoneCount]int{20, 20, 19}
+	return map[string]limitedFleet{
+		"planned fleet, plain service": {"booking", statusPath, 4, gateways},
+		"planned fleet, engines":       {"drafts", draftPath, 2, gateways},
+		"planned fleet, low limit":     {"booking", statusPath, 0.3, gateways},
+	}
+}
--- a/internal/peering/digest.go
+++ b/internal/peering/digest.go
@@ -46,6 +46,8 @@
 	Rollouts []Rollout
 	// Quarantine describes crashes of engines and the prompt parts that cause them.
 	Quarantine quarantine.Digest
+	// Announced holds what endpoints said about themselves.
+	Announced []Announced
 	// ReadsStore is true while the gateway reads the object store and it responds.
 	ReadsStore bool
 	// Others lists other gateways that are alive. Only some digests include them.
--- a/internal/peering/report.go
+++ b/internal/peering/report.go
@@ -12,6 +12,8 @@
 	Summaries []Summary
 	// Quarantine is what the sender knows about crashes of engines.
 	Quarantine quarantine.Digest
+	// Announced holds what endpoints said to the gateways of the cell.
+	Announced []Announced
 	// Age is the time since the report was created, as known to its sender.
 	Age time.Duration
 }
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -169,8 +169,9 @@
 
 // ownReport returns the report on the local cell. self is the local digest.
 func (t *Table) ownReport(self Digest) Report {
-	report := Report{Cell: t.Cells().Of(t.Self.Name), Summaries: []Summary{self.summary()}, Quarantine: self.Quarantine}
+	report := Report{Cell: t.Cells().Of(t.Self.Name), Summaries: []Summary{self.summary()}, Quarantine: self.Quarantine, Announced: self.Announced}
 	for _, peer := range t.CellPeers() {
+		report.Announced = append(report.Announced, aged(peer.Digest.Announced, time.Since(peer.ReceivedAt))...)
 		report.Summaries = append(report.Summaries, peer.Digest.summary())
 	}
 	return report
@@ -308,6 +309,18 @@
 	return members
 }
 
+// AliveMember returns the record of a gateway, and false if it is not alive.
+func (t *Table) AliveMember(name string) (Member, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	entry := t.peers[name]
+	if entry == nil {
+		return Member{}, false
+	}
+	cells := t.currentCells()
+	return entry.member, entry.alive(cells.Of(name) == cells.Of(t.Self.Name), time.Now())
+}
+
 // aliveAt reports whether a gateway with the control address is alive.
 func (t *Table) aliveAt(address string) bool {
 	return slices.ContainsFunc(t.aliveMembers(), func(member Member) bool { return member.Control == address })
