informer: read the era of the object store and log when it rises

Neither the log nor the metrics showed that the store had returned from an older copy (event 2106, with the revisions of store and copy). No decision uses the era yet.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -61,6 +61,7 @@
 	ObjectUnreadable     = Event{2102, logrus.WarnLevel, "object in the object store cannot be decoded", "The object is ignored; check the program that wrote it."}
 	ZoneEvacuated        = Event{2103, logrus.InfoLevel, "availability zone taken out of service", noAction}
 	ZoneReturned         = Event{2104, logrus.InfoLevel, "availability zone put back into service", noAction}
+	StoreRestored        = Event{2106, logrus.WarnLevel, "object store returned from an older copy of itself", "What was written since that copy is written again by its writers; check that the operators' last changes are in force."}
 	RolloutRequested     = Event{2105, logrus.InfoLevel, "rollout requested by the operators", noAction}
 )
 
@@ -122,7 +123,7 @@
 	return []Event{
 		ProcessStarted, DrainStarted, DrainEnded, DrainTimedOut, ServerFailed, InvariantViolated, RecordsSuppressed, RecordsDropped, ProcessStopped, SettingsReloaded, SettingsIgnored, AcceptFailed, CallPanicked, TaskPanicked,
 		TicketsApplied, StoreUnreachable, StoreReachable, ParentChanged, FreshnessLost, FreshnessRestored, TicketUnreadable,
-		ConfigurationApplied, ObjectUnreadable, ZoneEvacuated, ZoneReturned, RolloutRequested,
+		ConfigurationApplied, ObjectUnreadable, ZoneEvacuated, ZoneReturned, RolloutRequested, StoreRestored,
 		GatewayAlive, GatewayUnresponsive, SnapshotAdopted, SnapshotFailed,
 		RolloutStarted, SetComplete, ChunkCorrupt, PeerExcluded, LoadOrdered, LoadFailed, LoadCompleted, ManifestFailed,
 		ChunkMemoryTooSmall, SwapWaiting, RolloutAbandoned, EngineUnreachable, EngineReachable, GatewaysUnreachable, GatewaysReachable,
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -43,10 +43,16 @@
 	OnChange func(Snapshot)
 	// OnAvailability is called when the object API becomes available or unavailable.
 	OnAvailability func(available bool, err error)
+	// OnRestored is called when the store has returned from an older copy of itself. revision is
+	// the store's, copyRevision that of the local copy.
+	OnRestored func(era, revision, copyRevision int64)
 
 	mu       sync.Mutex
 	objects  map[string]Object
 	revision int64
+	// era is the store's newest known era, if eraKnown.
+	era      int64
+	eraKnown bool
 	// synced is true once there is a copy, relist while another list is required.
 	synced bool
 	relist bool
@@ -147,6 +153,7 @@
 		return err
 	}
 	i.recordAvailable()
+	i.recordEra(batch.Era, batch.Revision)
 	if i.apply(batch) {
 		concurrency.Sleep(ctx, i.CoalesceDelay)
 	}
@@ -163,7 +170,7 @@
 
 func (i *Informer) list(ctx context.Context) error {
 	objects := map[string]Object{}
-	revision, after := int64(0), ""
+	revision, era, after := int64(0), int64(0), ""
 	for {
 		page, err := i.List(ctx, i.Kind, after)
 		if err != nil {
@@ -176,13 +183,14 @@
 		// Watching from the revision of the first page covers changes made between
 		// pages.
 		if revision == 0 {
-			revision = page.Revision
+			revision, era = page.Revision, page.Era
 		}
 		if !page.HasMore || len(page.Objects) == 0 {
 			break
 		}
 	}
 	i.recordAvailable()
+	i.recordEra(era, revision)
 	i.mu.Lock()
 	// A snapshot adopted from a peer in the meantime may be newer.
 	newer := revision >= i.revision
@@ -233,6 +241,18 @@
 	return changed
 }
 
+// recordEra records the era of a response and reports a new one.
+func (i *Informer) recordEra(era, revision int64) {
+	i.mu.Lock()
+	restored := i.eraKnown && era > i.era
+	i.era, i.eraKnown = max(i.era, era), true
+	copyRevision := i.revision
+	i.mu.Unlock()
+	if restored && i.OnRestored != nil {
+		i.OnRestored(era, revision, copyRevision)
+	}
+}
+
 func (i *Informer) notifyChange() {
 	i.notifyMu.Lock()
 	defer i.notifyMu.Unlock()
--- a/internal/informer/object.go
+++ b/internal/informer/object.go
@@ -24,6 +24,8 @@
 // Object is a stored object of a kind.
 type Object struct {
 	Name string `json:"name"`
+	// Era is the store's era in which the object was read.
+	Era int64 `json:"era,omitempty"`
 	// Revision is the revision of the object store at the last change of the object.
 	Revision int64           `json:"revision"`
 	Value    json.RawMessage `json:"value"`
@@ -31,10 +33,12 @@
 	Status json.RawMessage `json:"status,omitempty"`
 }
 
-// Page is one page of a list. Revision is the revision of the object store at the time of
-// the response.
+// Page is one page of a list. Era and Revision are those of the object store at the time of
+// the response. The era rises when the store returns from an older copy of itself, after which
+// revisions are given out again.
 type Page struct {
 	Objects  []Object
+	Era      int64
 	Revision int64
 	HasMore  bool
 }
@@ -48,5 +52,6 @@
 // Batch is the response to a watch. The next watch continues after Revision.
 type Batch struct {
 	Changes  []Change
+	Era      int64
 	Revision int64
 }
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -74,6 +74,9 @@
 			apply(snapshot)
 			o.notifyChange()
 		},
+		OnRestored: func(era, revision, copyRevision int64) {
+			o.Log.Emit(event.StoreRestored, event.Fields{"kind": kind, "era": era, "revision": revision, "copyRevision": copyRevision})
+		},
 		OnAvailability: func(available bool, err error) {
 			if available {
 				o.Log.Emit(event.StoreReachable, event.Fields{"kind": kind})
