informer: order copies by the store's era and revision

Cause: revisions were taken for one order. Where the revision had been given out again, the watch went on and missed what lay between. Class: a counter of another system taken for a clock, although that system can fall back.

Change: a position is an era and a revision. Copies, deltas between gateways, digests, the view of the endpoints, the plans of loaders and the record of unreadable objects use it. A watch that is answered in another era leads to a list; history that expires twice in a row is retried with backoff. What was known before the return stays: objects whose content is newer by its own order (version of a configuration or rollout, start and heartbeat of an endpoint), for a time those that the store lost, and deletions. Gateways pass such objects to each other with the time that is left.

--- a/internal/clusterstate/view.go
+++ b/internal/clusterstate/view.go
@@ -9,12 +9,14 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+
+	"github.com/mimosaward/mimosaward/internal/informer"
 )
 
 // View is an immutable snapshot of the cluster state.
 type View struct {
 	endpointsByService map[string][]Endpoint
-	revision           int64
+	position           informer.Position
 	evacuatedZones     map[string]bool
 	wantedVersions     map[string]int64
 }
@@ -23,8 +25,8 @@
 // change them.
 func (v *View) ServiceEndpoints(name string) []Endpoint { return v.endpointsByService[name] }
 
-// Revision returns the object store's revision of the endpoints.
-func (v *View) Revision() int64 { return v.revision }
+// Position returns the position in the object store's history of the endpoints.
+func (v *View) Position() informer.Position { return v.position }
 
 // Evacuated reports whether an availability zone is out of service.
 func (v *View) Evacuated(zone string) bool { return v.evacuatedZones[zone] }
@@ -34,7 +36,7 @@
 
 // Complete reports whether both the endpoints and the wanted versions have been read. An
 // entry that is missing in an incomplete view may exist.
-func (v *View) Complete() bool { return v.revision > 0 && v.wantedVersions != nil }
+func (v *View) Complete() bool { return !v.position.IsZero() && v.wantedVersions != nil }
 
 // Store holds the newest view. It is safe for concurrent use.
 type Store struct {
@@ -53,8 +55,8 @@
 // View returns the newest view.
 func (s *Store) View() *View { return s.current.Load() }
 
-// SetEndpoints replaces the endpoints with those at a revision of the object store.
-func (s *Store) SetEndpoints(endpoints []Endpoint, revision int64) {
+// SetEndpoints replaces the endpoints with those at a position in the object store's history.
+func (s *Store) SetEndpoints(endpoints []Endpoint, position informer.Position) {
 	byService := map[string][]Endpoint{}
 	for _, endpoint := range newestByAddress(endpoints) {
 		byService[endpoint.Service] = append(byService[endpoint.Service], endpoint)
@@ -62,7 +64,7 @@
 	for _, list := range byService {
 		slices.SortFunc(list, func(a, b Endpoint) int { return strings.Compare(a.ID, b.ID) })
 	}
-	s.update(func(next *View) { next.endpointsByService, next.revision = byService, revision })
+	s.update(func(next *View) { next.endpointsByService, next.position = byService, position })
 }
 
 // newestByAddress returns the most recently started endpoint at each address. An endpoint
--- a/internal/clusterstate/view_test.go
+++ b/internal/clusterstate/view_test.go
@@ -6,6 +6,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/mimosaward/mimosaward/internal/clusterstate"
+	"github.com/mimosaward/mimosaward/internal/informer"
 )
 
 // An endpoint that restarted under a new ID has two entries until the old one expires.
@@ -17,7 +18,7 @@
 		{ID: "after", Incarnation: 2, Service: "drafts", Address: "10.0.0.1:80"},
 		{ID: "other", Incarnation: 1, Service: "drafts", Address: "10.0.0.2:80"},
 		{ID: "reused", Incarnation: 3, Service: "booking", Address: "10.0.0.2:80"},
-	}, 7)
+	}, informer.Position{Revision: 7})
 	var got []string
 	for _, service := range []string{"drafts", "booking"} {
 		for _, endpoint := range store.View().ServiceEndpoints(service) {
--- a/internal/dispatch/federation_test.go
+++ b/internal/dispatch/federation_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/mimosaward/mimosaward/internal/clusterstate"
 	"github.com/mimosaward/mimosaward/internal/configuration"
+	"github.com/mimosaward/mimosaward/internal/informer"
 	"github.com/mimosaward/mimosaward/internal/peering"
 )
 
@@ -19,7 +20,7 @@
 	endpoints := endpointsIn("a")
 	endpoints[0].Weights = []clusterstate.ModelVersion{{Model: "draft", Version: 1}}
 	store := clusterstate.NewStore()
-	store.SetEndpoints(endpoints, 1)
+	store.SetEndpoints(endpoints, informer.Position{Revision: 1})
 	service := configuration.Service{Name: "drafts", Engine: &configuration.Engine{
 		Slots: 4, TokensPerEvent: 5, StepTime: 10 * time.Millisecond, PrefillRate: 20_000, MeanPromptTokens: 500, MeanResponseTokens: 50,
 	}}
--- a/internal/dispatch/ownership_test.go
+++ b/internal/dispatch/ownership_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/mimosaward/mimosaward/internal/clusterstate"
+	"github.com/mimosaward/mimosaward/internal/informer"
 	"github.com/mimosaward/mimosaward/internal/peering"
 )
 
@@ -79,7 +80,7 @@
 // order of the peers.
 func TestGatewaysAgreeOnOwners(t *testing.T) {
 	store := clusterstate.NewStore()
-	store.SetEndpoints(endpointsIn("aaabbbccc"), 5)
+	store.SetEndpoints(endpointsIn("aaabbbccc"), informer.Position{Revision: 5})
 	gateways := gatewaysIn("abcc")
 	var ownersByGateway []map[string]string
 	for index, self := range gateways {
@@ -102,7 +103,7 @@
 // endpoints of a stopping gateway are reassigned.
 func TestOwnersFollowEvacuationAndShutdown(t *testing.T) {
 	store := clusterstate.NewStore()
-	store.SetEndpoints(endpointsIn("aabb"), 5)
+	store.SetEndpoints(endpointsIn("aabb"), informer.Position{Revision: 5})
 	gateways := gatewaysIn("ab")
 	peers := []peering.Peer{{Digest: peering.Digest{Member: gateways[1], Ready: true}}}
 	var o ownership
--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -9,6 +9,9 @@
 // digest returns the load report that the gateway sends to its peers.
 func (g *Gateway) digest() peering.Digest {
 	digest := peering.Digest{Ready: g.ready(), Stopping: g.drain.started(), ReadsStore: g.peerTable.IsReader() && g.observer.StoreAvailable()}
+	if config := g.observer.Configuration(); config != nil {
+		digest.Configuration = config.Version()
+	}
 	digest.Quarantine = g.quarantine.Digest(time.Now())
 	g.dispatcher.AddTo(&digest)
 	for _, rollout := range g.observer.Rollouts().All() {
--- a/internal/informer/delta_test.go
+++ b/internal/informer/delta_test.go
@@ -40,13 +40,13 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			local, peer := newCopy(4, c.local), newCopy(9, c.peer)
-			delta, _ := peer.Delta(local.Revision())
+			delta, _ := peer.Delta(local.Position())
 			_, complete := local.AdoptDelta(delta)
 			if complete != c.complete {
 				t.Errorf("complete is %t, want %t", complete, c.complete)
 			}
 			if !complete {
-				full, _ := peer.Delta(0)
+				full, _ := peer.Delta(informer.Position{})
 				if _, complete := local.AdoptDelta(full); !complete {
 					t.Error("the whole copy is not adopted")
 				}
@@ -63,7 +63,7 @@
 // A delta that does not follow the copy, or is older, must not change it.
 func TestForeignDeltaIsIgnored(t *testing.T) {
 	local := newCopy(4, map[string]int64{"a": 2})
-	for _, delta := range []informer.Delta{{Since: 6, Revision: 9}, {Since: 2, Revision: 4}, {Since: 1, Revision: 3}} {
+	for _, delta := range []informer.Delta{{Since: informer.Position{Revision: 6}, Revision: 9}, {Since: informer.Position{Revision: 2}, Revision: 4}, {Since: informer.Position{Revision: 1}, Revision: 3}} {
 		if changed, _ := local.AdoptDelta(delta); changed || local.Revision() != 4 {
 			t.Errorf("delta %+v changed the copy, now at revision %d", delta, local.Revision())
 		}
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -39,20 +39,28 @@
 	// Reads reports whether this process reads the object API. If not, the copy changes
 	// only through AdoptSnapshot. A nil Reads means true.
 	Reads func() bool
+	// Sequence returns the order of an object's content among its states, and false if it has
+	// none. A nil Sequence means that no object has one.
+	Sequence func(Object) (Sequence, bool)
+	// RetainTime is how long objects stay in the copy that the store lost when it returned from
+	// an older copy of itself, because their writers write them again.
+	RetainTime time.Duration
 	// OnChange is called after each change of the copy. Calls do not overlap.
 	OnChange func(Snapshot)
 	// OnAvailability is called when the object API becomes available or unavailable.
 	OnAvailability func(available bool, err error)
-	// OnRestored is called when the store has returned from an older copy of itself. revision is
-	// the store's, copyRevision that of the local copy.
-	OnRestored func(era, revision, copyRevision int64)
+	// OnRestored is called when the store has returned from an older copy of itself, with the
+	// positions of the store and of the local copy.
+	OnRestored func(store, local Position)
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// objects are the objects of the copy. Those of an earlier era than position are retained.
 	objects  map[string]Object
-	revision int64
-	// era is the store's newest known era, if eraKnown.
-	era      int64
-	eraKnown bool
+	position Position
+	// retainUntil holds the names of the objects that the store lost and the times until which
+	// they are retained. tombstones holds the objects that were deleted, by name.
+	retainUntil map[string]time.Time
+	tombstones  map[string]tombstone
 	// synced is true once there is a copy, relist while another list is required.
 	synced bool
 	relist bool
@@ -63,25 +71,32 @@
 	availableSince   time.Time
 }
 
-// Snapshot is a copy of all objects of a kind at a revision.
+// Snapshot is a copy of all objects of a kind at a position.
 type Snapshot struct {
+	Era      int64
 	Revision int64
 	Objects  map[string]Object
 }
 
+// Position returns the position of the copy.
+func (s *Snapshot) Position() Position { return Position{Era: s.Era, Revision: s.Revision} }
+
 // Snapshot returns the copy and reports whether it exists, which it does from the first
 // list or adopted snapshot on.
 func (i *Informer) Snapshot() (Snapshot, bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return Snapshot{Revision: i.revision, Objects: maps.Clone(i.objects)}, i.synced
+	return Snapshot{Era: i.position.Era, Revision: i.position.Revision, Objects: maps.Clone(i.objects)}, i.synced
 }
 
 // Revision returns the revision of the copy, or 0 if there is none.
-func (i *Informer) Revision() int64 {
+func (i *Informer) Revision() int64 { return i.Position().Revision }
+
+// Position returns the position of the copy, or zero if there is none.
+func (i *Informer) Position() Position {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.revision
+	return i.position
 }
 
 // Availability returns the time since which the object API has been unavailable to
@@ -97,14 +112,20 @@
 
 // AdoptSnapshot replaces the copy by a newer one from a peer and reports whether any
 // object changed. A snapshot that is not newer is ignored.
-func (i *Informer) AdoptSnapshot(snapshot Snapshot) bool {
+func (i *Informer) AdoptSnapshot(snapshot Snapshot) bool { return i.adopt(snapshot, nil) }
+
+// adopt replaces the copy by a newer one from a peer and the objects that the peer retains.
+func (i *Informer) adopt(snapshot Snapshot, retained []Retained) bool {
 	i.mu.Lock()
-	if snapshot.Revision <= i.revision {
+	position, now := snapshot.Position(), time.Now()
+	if !position.After(i.position) {
 		i.mu.Unlock()
 		return false
 	}
-	changed := !maps.EqualFunc(i.objects, snapshot.Objects, func(a, b Object) bool { return a.Revision == b.Revision })
-	i.objects, i.revision, i.synced = maps.Clone(snapshot.Objects), snapshot.Revision, true
+	objects := i.merge(snapshot.Objects, position, now)
+	i.adoptRetained(objects, position, retained, now)
+	changed := !maps.EqualFunc(i.objects, objects, func(a, b Object) bool { return a.Revision == b.Revision && a.Era == b.Era })
+	i.objects, i.position, i.synced = objects, position, true
 	i.mu.Unlock()
 	if changed {
 		i.notifyChange()
@@ -114,21 +135,23 @@
 
 // Run keeps the copy synchronized until ctx is done.
 func (i *Informer) Run(ctx context.Context) {
-	backoff := minBackoff
+	backoff, expired := minBackoff, false
 	for ctx.Err() == nil {
 		if i.Passive() {
 			concurrency.Tick(ctx, passiveInterval)
 			continue
 		}
+		watches := i.canWatch()
 		err := i.syncOnce(ctx)
 		switch {
 		case ctx.Err() != nil:
 			return
-		case errors.Is(err, ErrExpired):
+		case errors.Is(err, ErrExpired) && !expired:
+			expired = true
 			i.requestRelist()
 			continue
 		case err == nil:
-			backoff = minBackoff
+			backoff, expired = minBackoff, expired && !watches
 			continue
 		}
 		i.recordUnavailable(err)
@@ -142,18 +165,19 @@
 // syncOnce lists the kind if there is no copy to continue from or a relist is
 // required. Otherwise it waits for one batch of changes and applies it.
 func (i *Informer) syncOnce(ctx context.Context) error {
-	i.mu.Lock()
-	revision, canWatch := i.revision, i.synced && !i.relist
-	i.mu.Unlock()
-	if !canWatch {
+	if !i.canWatch() {
 		return i.list(ctx)
 	}
-	batch, err := i.Watch(ctx, i.Kind, revision)
+	position := i.Position()
+	batch, err := i.Watch(ctx, i.Kind, position.Revision)
 	if err != nil {
 		return err
 	}
 	i.recordAvailable()
-	i.recordEra(batch.Era, batch.Revision)
+	if batch.Era != position.Era {
+		// The revision from which the watch began is another one in this era.
+		return ErrExpired
+	}
 	if i.apply(batch) {
 		concurrency.Sleep(ctx, i.CoalesceDelay)
 	}
@@ -168,9 +192,16 @@
 	i.relist = true
 }
 
+// canWatch reports whether there is a copy from which a watch can continue.
+func (i *Informer) canWatch() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.synced && !i.relist
+}
+
 func (i *Informer) list(ctx context.Context) error {
 	objects := map[string]Object{}
-	revision, era, after := int64(0), int64(0), ""
+	position, after := Position{}, ""
 	for {
 		page, err := i.List(ctx, i.Kind, after)
 		if err != nil {
@@ -182,23 +213,29 @@
 		}
 		// Watching from the revision of the first page covers changes made between
 		// pages.
-		if revision == 0 {
-			revision, era = page.Revision, page.Era
+		if position.IsZero() {
+			position = page.Position()
+		}
+		if page.Era != position.Era {
+			return ErrExpired
 		}
 		if !page.HasMore || len(page.Objects) == 0 {
 			break
 		}
 	}
 	i.recordAvailable()
-	i.recordEra(era, revision)
 	i.mu.Lock()
+	local, restored := i.position, i.synced && position.Era > i.position.Era
 	// A snapshot adopted from a peer in the meantime may be newer.
-	newer := revision >= i.revision
+	newer := position.Compare(local) >= 0
 	if newer {
-		i.objects, i.revision = objects, revision
+		i.objects, i.position = i.merge(objects, position, time.Now()), position
 	}
 	i.synced, i.relist = true, false
 	i.mu.Unlock()
+	if restored && i.OnRestored != nil {
+		i.OnRestored(position, local)
+	}
 	if newer {
 		i.notifyChange()
 	}
@@ -209,31 +246,41 @@
 // begin before the revision of the copy if a snapshot was adopted during the watch.
 func (i *Informer) apply(batch Batch) bool {
 	i.mu.Lock()
-	if batch.Revision < i.revision {
+	if i.position.After(Position{Era: batch.Era, Revision: batch.Revision}) {
 		i.mu.Unlock()
 		return false
 	}
+	now := time.Now()
 	objects := maps.Clone(i.objects)
 	changed := false
 	for _, change := range batch.Changes {
 		existing, exists := objects[change.Object.Name]
 		switch {
-		case exists && existing.Revision > change.Object.Revision:
+		case exists && existing.Era == batch.Era && existing.Revision > change.Object.Revision:
+			continue
+		case exists && existing.Era < batch.Era && !change.Deleted && i.older(change.Object, existing):
+			// The writer has not yet written again what the store lost.
 			continue
-		case !exists && !change.Deleted && change.Object.Revision <= i.revision:
+		case !exists && !change.Deleted && change.Object.Revision <= i.position.Revision:
 			// The object was deleted before the copy was made.
 			continue
+		case !change.Deleted && i.deleted(change.Object):
+			continue
 		case change.Deleted && exists:
+			i.bury(existing, batch.Era, now)
 			delete(objects, change.Object.Name)
 		case change.Deleted:
+			i.bury(change.Object, batch.Era, now)
 			continue
 		default:
 			objects[change.Object.Name] = change.Object
+			delete(i.retainUntil, change.Object.Name)
+			delete(i.tombstones, change.Object.Name)
 		}
 		changed = true
 	}
 	i.objects = objects
-	i.revision = max(i.revision, batch.Revision)
+	i.position.Revision = max(i.position.Revision, batch.Revision)
 	i.mu.Unlock()
 	if changed {
 		i.notifyChange()
@@ -241,18 +288,6 @@
 	return changed
 }
 
-// recordEra records the era of a response and reports a new one.
-func (i *Informer) recordEra(era, revision int64) {
-	i.mu.Lock()
-	restored := i.eraKnown && era > i.era
-	i.era, i.eraKnown = max(i.era, era), true
-	copyRevision := i.revision
-	i.mu.Unlock()
-	if restored && i.OnRestored != nil {
-		i.OnRestored(era, revision, copyRevision)
-	}
-}
-
 func (i *Informer) notifyChange() {
 	i.notifyMu.Lock()
 	defer i.notifyMu.Unlock()
--- a/internal/informer/object.go
+++ b/internal/informer/object.go
@@ -43,6 +43,9 @@
 	HasMore  bool
 }
 
+// Position returns the position of the response.
+func (p *Page) Position() Position { return Position{Era: p.Era, Revision: p.Revision} }
+
 // Change is an object that was written or deleted.
 type Change struct {
 	Object  Object
--- a/internal/loader/observe.go
+++ b/internal/loader/observe.go
@@ -39,7 +39,7 @@
 		Model: ModelPart{
 			Version: current.Version(), Model: model, Layers: definition.Engine.Layers, Chunks: definition.Engine.Chunks,
 		},
-		Members: MembersPart{Revision: view.Revision(), Instances: members(view.ServiceEndpoints(service), model, ports)},
+		Members: MembersPart{Position: view.Position(), Instances: members(view.ServiceEndpoints(service), model, ports)},
 	}
 	if origin, ok := current.Origin(); ok {
 		plan.Model.Origin, plan.Model.OriginZone = origin.Address, origin.AvailabilityZone
--- a/internal/loader/plan.go
+++ b/internal/loader/plan.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/mimosaward/mimosaward/internal/informer"
 	"github.com/mimosaward/mimosaward/internal/membership"
 )
 
@@ -36,9 +37,9 @@
 	Age     time.Duration
 }
 
-// MembersPart holds the instances at a revision of the object store.
+// MembersPart holds the instances at a position in the object store's history.
 type MembersPart struct {
-	Revision  int64
+	Position  informer.Position
 	Instances []Member
 }
 
@@ -74,12 +75,12 @@
 type PlanVersions struct {
 	Model   int64
 	Wanted  int64
-	Members int64
+	Members informer.Position
 }
 
 // Versions returns the versions of the plan's parts.
 func (p *Plan) Versions() PlanVersions {
-	return PlanVersions{Model: p.Model.Version, Wanted: p.Wanted.Version, Members: p.Members.Revision}
+	return PlanVersions{Model: p.Model.Version, Wanted: p.Wanted.Version, Members: p.Members.Position}
 }
 
 // NewerThan returns the parts that are newer than the given versions, and false if there
@@ -92,7 +93,7 @@
 	if p.Wanted.Version > versions.Wanted {
 		newer.Wanted = p.Wanted
 	}
-	if p.Members.Revision > versions.Members {
+	if p.Members.Position.After(versions.Members) {
 		newer.Members = p.Members
 	}
 	return newer, newer.Versions() != PlanVersions{}
@@ -127,7 +128,7 @@
 		h.plan.Wanted = newer.Wanted
 		h.knownSince[newer.Wanted.Version] = time.Now().Add(-newer.Wanted.Age)
 	}
-	if newer.Members.Revision > 0 {
+	if !newer.Members.Position.IsZero() {
 		h.plan.Members = newer.Members
 	}
 	close(h.changed)
--- a/internal/loader/plan_test.go
+++ b/internal/loader/plan_test.go
@@ -7,6 +7,7 @@
 	"github.com/mimosaward/mimosaward/internal/clusterstate"
 	"github.com/mimosaward/mimosaward/internal/configuration"
 	"github.com/mimosaward/mimosaward/internal/deployment"
+	"github.com/mimosaward/mimosaward/internal/informer"
 	"github.com/mimosaward/mimosaward/internal/loader"
 )
 
@@ -23,14 +24,19 @@
 		update   func(h *clusterstate.Store)
 		complete bool
 	}{
-		"nothing":   {update: func(*clusterstate.Store) {}},
-		"endpoints": {update: func(h *clusterstate.Store) { h.SetEndpoints([]clusterstate.Endpoint{endpoint}, 7) }},
-		"versions":  {update: func(h *clusterstate.Store) { h.SetWantedVersions(map[string]int64{"draft": 2}) }},
+		"nothing": {update: func(*clusterstate.Store) {}},
+		"endpoints": {update: func(h *clusterstate.Store) {
+			h.SetEndpoints([]clusterstate.Endpoint{endpoint}, informer.Position{Revision: 7})
+		}},
+		"versions": {update: func(h *clusterstate.Store) { h.SetWantedVersions(map[string]int64{"draft": 2}) }},
 		"both": {update: func(h *clusterstate.Store) {
-			h.SetEndpoints(nil, 7)
+			h.SetEndpoints(nil, informer.Position{Revision: 7})
 			h.SetWantedVersions(map[string]int64{"draft": 2})
 		}, complete: true},
-		"no version set": {update: func(h *clusterstate.Store) { h.SetEndpoints(nil, 7); h.SetWantedVersions(map[string]int64{}) }, complete: true},
+		"no version set": {update: func(h *clusterstate.Store) {
+			h.SetEndpoints(nil, informer.Position{Revision: 7})
+			h.SetWantedVersions(map[string]int64{})
+		}, complete: true},
 	}
 	for name, c := range cases {
 		holder := clusterstate.NewStore()
@@ -41,3 +47,15 @@
 		}
 	}
 }
+
+// Guards against loaders that ignore the instances of a store that returned from an older copy
+// of itself, because its revisions are lower.
+func TestInstancesOfNextEraAreNewer(t *testing.T) {
+	plan := loader.Plan{Members: loader.MembersPart{Position: informer.Position{Era: 2, Revision: 5}}}
+	if _, newer := plan.NewerThan(loader.PlanVersions{Members: informer.Position{Era: 1, Revision: 9}}); !newer {
+		t.Error("instances at a lower revision of the next era are ignored")
+	}
+	if _, newer := plan.NewerThan(loader.PlanVersions{Members: informer.Position{Era: 2, Revision: 9}}); newer {
+		t.Error("older instances of the same era are used")
+	}
+}
--- a/internal/peering/copysync_test.go
+++ b/internal/peering/copysync_test.go
@@ -29,7 +29,7 @@
 			written := time.Now()
 			revision := f.store.write(configurationKind, "main")
 			for time.Since(written) < time.Second {
-				if reading.peer(silent).Digest.Revisions[configurationKind] >= revision {
+				if reading.peer(silent).Digest.Copies[configurationKind].Position.Revision >= revision {
 					break
 				}
 				time.Sleep(time.Millisecond)
--- a/internal/peering/digest.go
+++ b/internal/peering/digest.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/mimosaward/mimosaward/internal/engine"
+	"github.com/mimosaward/mimosaward/internal/informer"
 	"github.com/mimosaward/mimosaward/internal/quarantine"
 )
 
@@ -30,8 +31,10 @@
 	// asked to stop.
 	Ready    bool
 	Stopping bool
-	// Revisions holds the revision of the gateway's copy of each kind of object.
-	Revisions map[string]int64
+	// Copies describes the gateway's copy of each kind of object.
+	Copies map[string]CopyState
+	// Configuration is the version of the configuration in force, 0 if there is none.
+	Configuration int64
 	// Loads describes the gateway's requests at each endpoint.
 	Loads []Load
 	// Demands describes the gateway's requests for each service.
@@ -58,6 +61,13 @@
 	AskReports bool
 }
 
+// CopyState describes a gateway's copy of the objects of a kind.
+type CopyState struct {
+	Position informer.Position
+	// Retained is the number of objects of the copy that the store lost.
+	Retained int
+}
+
 // idle reports whether the gateway has no requests, at endpoints or in queues.
 func (d *Digest) idle() bool {
 	for _, load := range d.Loads {
--- a/internal/peering/fleetgateway_test.go
+++ b/internal/peering/fleetgateway_test.go
@@ -72,6 +72,7 @@
 	for kind, delay := range map[string]time.Duration{configurationKind: 100 * time.Millisecond, endpointKind: 400 * time.Millisecond, memberKind: time.Second} {
 		local := &informer.Informer{
 			Kind: kind, CoalesceDelay: delay, Reads: g.table.IsReader, OnChange: func(informer.Snapshot) {},
+			Sequence: numberOfWrite, RetainTime: 10 * time.Second,
 			List: func(ctx context.Context, kind, _ string) (informer.Page, error) {
 				return f.store.list(ctx, g.member.Name, kind)
 			},
@@ -105,6 +106,20 @@
 	f.store.put(memberKind, g.member.Name, g.record())
 }
 
+// numberOfWrite returns the value of an object as its place among the writes.
+func numberOfWrite(object informer.Object) (informer.Sequence, bool) {
+	var number int64
+	err := json.Unmarshal(object.Value, &number)
+	return informer.Sequence{Number: number}, err == nil
+}
+
+// hasWrite reports whether the gateway's copy has a write of an object or a later one.
+func (g *fleetGateway) hasWrite(kind, name string, number int64) bool {
+	snapshot, _ := g.copies[kind].Snapshot()
+	sequence, ok := numberOfWrite(snapshot.Objects[name])
+	return ok && sequence.Number >= number
+}
+
 // record returns the value that the gateway registers in the store.
 func (g *fleetGateway) record() json.RawMessage {
 	value, err := json.Marshal(g.member)
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -50,6 +50,8 @@
 	// sourceExclusion is how long a gateway that sent no copy is not asked again while
 	// another one has the same copy.
 	sourceExclusion = 2 * time.Second
+	// retainedInterval is the interval between requests for retained objects.
+	retainedInterval = 500 * time.Millisecond
 
 	serviceName    = "Gateway"
 	exchangeMethod = serviceName + ".Exchange"
@@ -66,7 +68,7 @@
 	// BulkControl transfers copies, so that digests are not delayed behind them.
 	BulkControl *controlrpc.Client
 	Log         *event.Logger
-	// Digest returns the digest to send. Peering sets its Member, Uptime, Revisions, Reports,
+	// Digest returns the digest to send. Peering sets its Member, Uptime, Copies, Reports,
 	// Others and AskOthers.
 	Digest func() Digest
 	// Informers hold the copies of objects that gateways fetch from each other.
@@ -92,6 +94,9 @@
 	// behindSince holds, by kind, the time since which the local copy has been older
 	// than that of a peer. Only SyncCopies uses it.
 	behindSince map[string]time.Time
+	// retainedAskedAt holds, by kind, when retained objects were last requested. Only
+	// SyncCopies uses it.
+	retainedAskedAt map[string]time.Time
 	// silentUntil holds, by name, the time until which a gateway that sent no copy is not
 	// asked for one. mu protects it.
 	silentUntil map[string]time.Time
@@ -122,10 +127,10 @@
 	return nil
 }
 
-// CopyArgs requests the objects of a kind that changed after a revision.
+// CopyArgs requests the objects of a kind that changed after a position.
 type CopyArgs struct {
 	Kind  string
-	Since int64
+	Since informer.Position
 }
 
 // CopyReply returns the changed objects of a kind. Held is false if there is no copy.
@@ -289,9 +294,9 @@
 	digest := p.Digest()
 	digest.Member, digest.Uptime = p.Self, time.Since(p.Table.Start)
 	p.idle.Store(digest.idle())
-	digest.Revisions = map[string]int64{}
+	digest.Copies = map[string]CopyState{}
 	for _, local := range p.Informers {
-		digest.Revisions[local.Kind] = local.Revision()
+		digest.Copies[local.Kind] = CopyState{Position: local.Position(), Retained: local.RetainedCount()}
 	}
 	return digest
 }
--- a/internal/peering/report.go
+++ b/internal/peering/report.go
@@ -27,8 +27,10 @@
 	Stopping    bool
 	Capacities  []Capacity
 	ReadsStore  bool
-	// Revisions holds the revision of the gateway's copy of each kind of object.
-	Revisions map[string]int64
+	// Copies describes the gateway's copy of each kind of object.
+	Copies map[string]CopyState
+	// Configuration is the version of the configuration in force, 0 if there is none.
+	Configuration int64
 }
 
 // Capacity is a gateway's share of a service's endpoints.
@@ -47,5 +49,5 @@
 
 // summary returns the part of the digest for other cells.
 func (d *Digest) summary() Summary {
-	return Summary{Name: d.Member.Name, Incarnation: d.Member.Incarnation, Uptime: d.Uptime, Ready: d.Ready, Stopping: d.Stopping, Capacities: d.Capacities, ReadsStore: d.ReadsStore, Revisions: d.Revisions}
+	return Summary{Name: d.Member.Name, Incarnation: d.Member.Incarnation, Uptime: d.Uptime, Ready: d.Ready, Stopping: d.Stopping, Capacities: d.Capacities, ReadsStore: d.ReadsStore, Copies: d.Copies, Configuration: d.Configuration}
 }
--- a/internal/peering/sharedstore_test.go
+++ b/internal/peering/sharedstore_test.go
@@ -19,6 +19,7 @@
 // off from it.
 type sharedStore struct {
 	mu       sync.Mutex
+	era      int64
 	revision int64
 	objects  map[string]map[string]informer.Object
 	history  []storedChange
@@ -29,6 +30,37 @@
 	silent chan struct{}
 }
 
+// storeBackup is a copy of a store's contents.
+type storeBackup struct {
+	revision int64
+	objects  map[string]map[string]informer.Object
+}
+
+// backup returns a copy of the contents.
+func (s *sharedStore) backup() storeBackup {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	saved := storeBackup{revision: s.revision, objects: map[string]map[string]informer.Object{}}
+	for kind, objects := range s.objects {
+		saved.objects[kind] = maps.Clone(objects)
+	}
+	return saved
+}
+
+// restore returns the store to a backup: revisions are given out again, in the next era.
+func (s *sharedStore) restore(saved storeBackup) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.objects = saved.revision, map[string]map[string]informer.Object{}
+	for kind, objects := range saved.objects {
+		s.objects[kind] = maps.Clone(objects)
+	}
+	s.history = slices.DeleteFunc(s.history, func(stored storedChange) bool { return stored.change.Object.Revision > s.revision })
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 type storedChange struct {
 	kind   string
 	change informer.Change
@@ -103,7 +135,10 @@
 	s.mu.Lock()
 	cutOff := s.cutOff[process]
 	objects := slices.SortedFunc(maps.Values(s.objects[kind]), func(a, b informer.Object) int { return cmp.Compare(a.Name, b.Name) })
-	page := informer.Page{Objects: objects, Revision: s.revision}
+	for index := range objects {
+		objects[index].Era = s.era
+	}
+	page := informer.Page{Objects: objects, Era: s.era, Revision: s.revision}
 	s.mu.Unlock()
 	if cutOff {
 		concurrency.Sleep(ctx, connectTimeout)
@@ -122,6 +157,8 @@
 		case cutOff:
 			concurrency.Sleep(ctx, keepAliveTimeout)
 			return informer.Batch{}, errCutOff
+		case batch.Revision < after:
+			return informer.Batch{}, informer.ErrExpired
 		case len(batch.Changes) > 0:
 			return batch, nil
 		}
@@ -141,10 +178,12 @@
 func (s *sharedStore) changesAfter(process, kind string, after int64) (batch informer.Batch, changed <-chan struct{}, cutOff bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	batch.Revision = s.revision
+	batch.Era, batch.Revision = s.era, s.revision
 	for _, stored := range s.history {
 		if stored.kind == kind && stored.change.Object.Revision > after {
-			batch.Changes = append(batch.Changes, stored.change)
+			change := stored.change
+			change.Object.Era = s.era
+			batch.Changes = append(batch.Changes, change)
 		}
 	}
 	return batch, s.changed, s.cutOff[process]
--- a/internal/peering/spread_test.go
+++ b/internal/peering/spread_test.go
@@ -1,7 +1,9 @@
 package peering_test
 
 import (
+	"encoding/json"
 	"fmt"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -155,3 +157,39 @@
 		removed.require(t, "removed endpoint", drainBound)
 	})
 }
+
+// Guards against gateways that take a store that returned from an older copy for an old one.
+// What was confirmed before must stay in force on every gateway, also on one that starts after
+// the return, and every gateway must use what is confirmed later within the bound.
+func TestCopiesSpreadAfterStoreReturnsFromOlderCopy(t *testing.T) {
+	forEachFleet(t, func(t *testing.T, f *runningFleet) {
+		late := f.gateways[len(f.gateways)-1]
+		f.start(f.gateways[:len(f.gateways)-1])
+		write := func(number int64) {
+			f.store.put(configurationKind, "main", json.RawMessage(strconv.FormatInt(number, 10)))
+		}
+		uses := func(number int64) func(*fleetGateway) bool {
+			return func(g *fleetGateway) bool { return g.hasWrite(configurationKind, "main", number) }
+		}
+		write(1)
+		time.Sleep(configurationBound)
+		saved := f.store.backup()
+		write(2)
+		f.store.write(endpointKind, "other")
+		write(3)
+		time.Sleep(configurationBound)
+		f.store.restore(saved)
+		late.start()
+		var started, kept, next worst
+		started.add(f.measure(uses(3)))
+		time.Sleep(configurationBound)
+		kept.add(f.measure(uses(3)))
+		for number := int64(4); number < 8; number++ {
+			write(number)
+			next.add(f.measure(uses(number)))
+		}
+		started.require(t, "configuration of a gateway that starts after the return", contactTime)
+		kept.require(t, "configuration that was confirmed before", 0)
+		next.require(t, "next configuration", configurationBound)
+	})
+}
--- a/internal/simulation/run.go
+++ b/internal/simulation/run.go
@@ -16,6 +16,7 @@
 	"github.com/mimosaward/mimosaward/internal/dispatch"
 	"github.com/mimosaward/mimosaward/internal/emulator"
 	"github.com/mimosaward/mimosaward/internal/engine"
+	"github.com/mimosaward/mimosaward/internal/informer"
 	"github.com/mimosaward/mimosaward/internal/peering"
 )
 
@@ -181,7 +182,7 @@
 	for _, h := range r.engines {
 		endpoints = append(endpoints, h.endpoint)
 	}
-	r.state.SetEndpoints(endpoints, int64(time.Since(r.start))+1)
+	r.state.SetEndpoints(endpoints, informer.Position{Revision: int64(time.Since(r.start)) + 1})
 	r.mu.Unlock()
 	for _, g := range r.gateways {
 		g.dispatcher.RecordStatus(host.endpoint.ID, r.status(host), true)
--- a/internal/storewatch/apply.go
+++ b/internal/storewatch/apply.go
@@ -35,7 +35,7 @@
 		}
 		endpoints = append(endpoints, endpoint)
 	}
-	o.clusterState.SetEndpoints(endpoints, snapshot.Revision)
+	o.clusterState.SetEndpoints(endpoints, snapshot.Position())
 }
 
 // layers returns the number of layers of a service's model, or 0 if it is unknown.
@@ -113,12 +113,13 @@
 // Rollouts returns the times at which model versions became known.
 func (o *Observer) Rollouts() *Rollouts { return &o.rollouts }
 
-// logUnreadable logs an object that cannot be decoded, once per revision.
+// logUnreadable logs an object that cannot be decoded, once per change.
 func (o *Observer) logUnreadable(kind string, object informer.Object, cause error) {
 	key := kind + "/" + object.Name
 	o.mu.Lock()
-	reported := o.reportedUnreadable[key] == object.Revision
-	o.reportedUnreadable[key] = object.Revision
+	position := informer.Position{Era: object.Era, Revision: object.Revision}
+	reported := o.reportedUnreadable[key] == position
+	o.reportedUnreadable[key] = position
 	o.mu.Unlock()
 	if !reported {
 		o.Log.Emit(event.ObjectUnreadable, event.Fields{"object": key, "revision": object.Revision, "error": cause.Error()})
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -27,6 +28,11 @@
 	// acceptable because a leaving endpoint may receive requests for some seconds, and
 	// loaders report the status of their engines sooner.
 	endpointCoalesceDelay = 400 * time.Millisecond
+	// endpointRetainTime is how long endpoints count as alive that a store lost which returned
+	// from an older copy: they write their entries again within about two seconds.
+	endpointRetainTime = 2 * time.Second
+	// operatorRetainTime is the same for what operators write.
+	operatorRetainTime = 10 * time.Second
 )
 
 // Observer watches the object store. Set the exported fields before calling Init, and
@@ -48,34 +54,42 @@
 
 	mu      sync.Mutex
 	changed chan struct{}
-	// reportedUnreadable maps each object that was logged as unreadable to its revision
-	// at that time, so that it is logged once per revision.
-	reportedUnreadable map[string]int64
+	// reportedUnreadable maps each object that was logged as unreadable to its position
+	// at that time, so that it is logged once per change.
+	reportedUnreadable map[string]informer.Position
 }
 
 // Init initializes the observer and returns it.
 func (o *Observer) Init() *Observer {
 	o.clusterState = clusterstate.NewStore()
 	o.changed = make(chan struct{})
-	o.reportedUnreadable = map[string]int64{}
-	o.AddInformer(platform.KindConfiguration, coalesceDelay, o.applyConfiguration)
-	o.AddInformer(platform.KindEndpoints, endpointCoalesceDelay, o.applyEndpoints)
+	o.reportedUnreadable = map[string]informer.Position{}
+	o.AddInformer(platform.KindConfiguration, coalesceDelay, o.applyConfiguration).Sequence = configurationSequence
+	o.AddInformer(platform.KindEndpoints, endpointCoalesceDelay, o.applyEndpoints).Sequence = endpointSequence
 	o.AddInformer(platform.KindEvacuations, coalesceDelay, o.applyEvacuations)
-	o.AddInformer(platform.KindRollouts, coalesceDelay, o.applyRollouts)
+	o.AddInformer(platform.KindRollouts, coalesceDelay, o.applyRollouts).Sequence = rolloutSequence
+	for _, inf := range o.informers {
+		inf.RetainTime = operatorRetainTime
+		if inf.Kind == platform.KindEndpoints {
+			inf.RetainTime = endpointRetainTime
+		}
+	}
 	return o
 }
 
-// AddInformer adds an informer for another kind, which calls apply after each change.
-// Changes within delay share a watch. It must be called before Run.
-func (o *Observer) AddInformer(kind string, delay time.Duration, apply func(informer.Snapshot)) {
-	o.informers = append(o.informers, &informer.Informer{
+// AddInformer adds an informer for another kind, which calls apply after each change, and
+// returns it. Changes within delay share a watch. It must be called before Run.
+func (o *Observer) AddInformer(kind string, delay time.Duration, apply func(informer.Snapshot)) *informer.Informer {
+	added := &informer.Informer{
 		Kind: kind, CoalesceDelay: delay, List: o.List, Watch: o.Watch, Reads: o.Reads,
 		OnChange: func(snapshot informer.Snapshot) {
 			apply(snapshot)
 			o.notifyChange()
 		},
-		OnRestored: func(era, revision, copyRevision int64) {
-			o.Log.Emit(event.StoreRestored, event.Fields{"kind": kind, "era": era, "revision": revision, "copyRevision": copyRevision})
+		OnRestored: func(store, local informer.Position) {
+			o.Log.Emit(event.StoreRestored, event.Fields{
+				"kind": kind, "era": store.Era, "revision": store.Revision, "copyEra": local.Era, "copyRevision": local.Revision,
+			})
 		},
 		OnAvailability: func(available bool, err error) {
 			if available {
@@ -84,7 +98,9 @@
 			}
 			o.Log.Emit(event.StoreUnreachable, event.Fields{"kind": kind, "error": err.Error()})
 		},
-	})
+	}
+	o.informers = append(o.informers, added)
+	return added
 }
 
 // Run runs all informers until ctx is done.
@@ -99,7 +115,7 @@
 // StoreAvailable reports whether the object API responds for every kind.
 func (o *Observer) StoreAvailable() bool {
 	for _, inf := range o.informers {
-		if unavailableSince, _ := inf.Availability(); !unavailableSince.IsZero() || inf.Revision() == 0 {
+		if unavailableSince, _ := inf.Availability(); !unavailableSince.IsZero() || inf.Position().IsZero() {
 			return false
 		}
 	}
@@ -112,11 +128,13 @@
 // Configuration returns the current configuration, or nil before the first one.
 func (o *Observer) Configuration() *configuration.Configuration { return o.configuration.Current() }
 
-// RolloutObjects returns the objects in which operators request model versions.
+// RolloutObjects returns the objects in which operators request model versions, except those
+// that the store has lost.
 func (o *Observer) RolloutObjects() map[string]informer.Object {
 	for _, inf := range o.informers {
 		if inf.Kind == platform.KindRollouts {
 			snapshot, _ := inf.Snapshot()
+			maps.DeleteFunc(snapshot.Objects, func(_ string, object informer.Object) bool { return object.Era < snapshot.Era })
 			return snapshot.Objects
 		}
 	}
