gateway: register again if the store lost the registration

A gateway registered once, at its start. If the object store then returned from an older copy, the registration was gone for good, and a gateway that starts later, or on the far side of a long cut, did not find it. Class: what the system wrote is taken to last.

Change: a gateway whose record is missing in a copy of a later era than that of its record writes it again.

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -25,6 +25,9 @@
 	memberCoalesceDelay = time.Second
 	// registerRetryDelay is the delay before a failed registration is retried.
 	registerRetryDelay = 500 * time.Millisecond
+	// registrationCheckInterval is how often the registration is checked if the copy does not
+	// change.
+	registrationCheckInterval = 30 * time.Second
 	// addressTTL is the maximum TTL of a directory response. Some clients cache it three
 	// times as long.
 	addressTTL = time.Second
@@ -45,22 +48,43 @@
 	}
 }
 
-// register writes the gateway's member record into the object store. It retries until it
-// succeeds or ctx is done.
+// register writes the gateway's member record into the object store, and again whenever the
+// store has lost it, until ctx is done.
 func (g *Gateway) register(ctx context.Context) {
 	for ctx.Err() == nil {
-		_, err := g.store.Create(ctx, gatewayKind, g.self.Name, g.self)
+		changed := g.observer.Changed()
+		if !g.unregistered() {
+			waitForChange(ctx, changed, registrationCheckInterval)
+			continue
+		}
+		record, err := g.store.Create(ctx, gatewayKind, g.self.Name, g.self)
 		if errors.Is(err, informer.ErrConflict) {
-			_, err = g.store.Replace(ctx, gatewayKind, g.self.Name, 0, g.self)
+			record, err = g.store.Replace(ctx, gatewayKind, g.self.Name, 0, g.self)
 		}
 		if err == nil {
-			return
+			g.registeredAt = &informer.Position{Era: record.Era, Revision: record.Revision}
+			continue
 		}
 		g.Log.Emit(event.StoreUnreachable, event.Fields{"kind": gatewayKind, "error": err.Error()})
 		concurrency.Sleep(ctx, registerRetryDelay)
 	}
 }
 
+// unregistered reports whether the store does not have the gateway's member record. A copy of
+// an era in which the record was written may be older than the record.
+func (g *Gateway) unregistered() bool {
+	if g.registeredAt == nil {
+		return true
+	}
+	snapshot, synced := g.members.Snapshot()
+	if !synced || snapshot.Era <= g.registeredAt.Era {
+		return false
+	}
+	var stored peering.Member
+	object, exists := snapshot.Objects[g.self.Name]
+	return !exists || json.Unmarshal(object.Value, &stored) != nil || stored.Incarnation != g.self.Incarnation
+}
+
 // handleDirectory serves the addresses of the gateways that a client should use.
 func (g *Gateway) handleDirectory(c *fasthttp.RequestCtx) {
 	if string(c.Path()) != platform.PathDirectory {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/mimosaward/mimosaward/internal/deployment"
 	"github.com/mimosaward/mimosaward/internal/dispatch"
 	"github.com/mimosaward/mimosaward/internal/event"
+	"github.com/mimosaward/mimosaward/internal/informer"
 	"github.com/mimosaward/mimosaward/internal/loader"
 	"github.com/mimosaward/mimosaward/internal/peering"
 	"github.com/mimosaward/mimosaward/internal/quarantine"
@@ -61,11 +62,16 @@
 	// Stale reports whether an idle connection was closed by the peer or has unread bytes.
 	Stale func(net.Conn) bool
 
-	observer   *storewatch.Observer
-	dispatcher *dispatch.Dispatcher
-	federation *dispatch.Federation
-	lender     *lender
-	tasks      *concurrency.Group
+	observer *storewatch.Observer
+	// members holds the registered gateways.
+	members *informer.Informer
+	// registeredAt is where the gateway's own record was written, nil before. Only register
+	// uses it.
+	registeredAt *informer.Position
+	dispatcher   *dispatch.Dispatcher
+	federation   *dispatch.Federation
+	lender       *lender
+	tasks        *concurrency.Group
 	// failures receives the failure of a component without which the gateway must not run.
 	failures      chan error
 	pool          *connpool.Pool
@@ -155,7 +161,7 @@
 	g.store = platform.NewStore(g.Deployment.Store.Address, g.DialStore)
 	g.peerTable = &peering.Table{Self: g.self, Start: time.Now()}
 	g.observer = (&storewatch.Observer{List: g.store.List, Watch: g.store.Watch, Reads: g.peerTable.IsReader, Regions: g.Deployment.Regions, Log: g.Log}).Init()
-	g.observer.AddInformer(gatewayKind, memberCoalesceDelay, g.applyMembers)
+	g.members = g.observer.AddInformer(gatewayKind, memberCoalesceDelay, g.applyMembers)
 	g.dispatcher = &dispatch.Dispatcher{
 		Self: g.self, View: g.observer.ClusterState, Service: g.lookUpService, MinVersion: g.minVersion, Peers: g.peerTable.CellPeers,
 		CellEndpoints: g.peerTable.CellEndpoints, FleetGateways: g.readyGateways, Stopping: g.drain.started,
