gateway: serve once what the other gateways know is known

Callers of a gateway that started just after the object store had returned from an older copy got 404 on confirmed routes, for good (the test), and requests went to an availability zone that was out of service. Cause: the first list made the gateway ready, however old it was.

Change: a new gateway refuses requests, as without a configuration, until its configuration is as new as that of the other live gateways and its copies have what these retain; for at most 3 s, and 0.4 s if it finds no other gateway.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,6 +68,7 @@
 	// registeredAt is where the gateway's own record was written, nil before. Only register
 	// uses it.
 	registeredAt *informer.Position
+	startup      startup
 	dispatcher   *dispatch.Dispatcher
 	federation   *dispatch.Federation
 	lender       *lender
@@ -154,6 +155,7 @@
 func (g *Gateway) prepare() (net.Listener, error) {
 	instance := g.Deployment.Instance
 	g.bounds.Store(&g.Deployment.Bounds)
+	g.startup.startedAt = time.Now()
 	g.self = peering.Member{
 		Name: instance.Name, AvailabilityZone: instance.AvailabilityZone, Region: instance.Region,
 		Callers: g.Deployment.Listen.Clients, Control: g.Deployment.Listen.Control, Incarnation: time.Now().UnixMilli(),
@@ -274,5 +276,32 @@
 }
 
 func (g *Gateway) ready() bool {
-	return !g.drain.started() && g.observer.Configuration() != nil
+	return !g.drain.started() && g.configuration() != nil
+}
+
+// configuration returns the configuration in force, or nil if the gateway does not know one
+// yet that is as new as that of the other gateways.
+func (g *Gateway) configuration() *configuration.Configuration {
+	current := g.observer.Configuration()
+	if current == nil || !g.startup.complete(func() (caughtUp, known bool) { return g.caughtUp(current.Version()) }) {
+		return nil
+	}
+	return current
+}
+
+// caughtUp reports whether the configuration with the version and the copies of objects are as
+// new as those of the other gateways. known is false if there is no other gateway.
+func (g *Gateway) caughtUp(version int64) (caughtUp, known bool) {
+	caughtUp = true
+	for _, peer := range g.peerTable.Alive() {
+		known = true
+		caughtUp = caughtUp && peer.Digest.Configuration <= version
+		for _, local := range g.observer.Informers() {
+			state := peer.Digest.Copies[local.Kind]
+			// What a gateway knew in an earlier era shows only once it has followed the store.
+			sameEra := state.Position.Era == local.Position().Era || state.Position.IsZero()
+			caughtUp = caughtUp && sameEra && state.Retained <= local.RetainedCount()
+		}
+	}
+	return caughtUp, known
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -104,7 +104,7 @@
 func (g *Gateway) beginRequest(c *fasthttp.RequestCtx) *request {
 	r := &request{
 		gateway: g, httpCtx: c, clientRequest: platform.ParseRequestHeader(&c.Request.Header), arrived: time.Now(), conn: c.Conn(),
-		configuration: g.observer.Configuration(),
+		configuration: g.configuration(),
 	}
 	r.ctx, r.cancel = context.WithCancelCause(context.Background())
 	g.requests.add(r)
