gateway: take a refusal without an ID only from a fresh connection

Callers were told 503, not run, for requests that ran, and streams ran at a second endpoint (test), after an endpoint had written an earlier refusal once more on a kept connection.

Cause: a response that names no request and says not executed was taken for the answer to the current request. It may belong to any earlier one. Change: on a connection that carried another request it is skipped, like other foreign responses, and the connection is not used again.

TestRepeatedRefusalBelongsToNoOtherRequest failed before and passes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -63,7 +63,7 @@
 	a := &attempt{request: r, grant: grant, exchange: exchange, stopAbort: stopAbort}
 	r.attempt = a
 	responseHeader, err := exchange.ReadHeader(r.deadline, !r.httpCtx.IsHead(), func(h *fasthttp.ResponseHeader) bool {
-		return r.ownsResponse(platform.ParseResponseHeader(h))
+		return r.ownsResponse(platform.ParseResponseHeader(h), conn.Reused())
 	})
 	if err != nil {
 		a.discard()
@@ -102,9 +102,9 @@
 }
 
 // ownsResponse reports whether a response belongs to the request. A refusal may carry no
-// request ID.
-func (r *request) ownsResponse(response platform.ResponseHeader) bool {
-	return response.RequestID == r.clientRequest.ID || (response.RequestID == "" && response.NotExecuted)
+// request ID, but on a connection that carried an earlier request, it may belong to that one.
+func (r *request) ownsResponse(response platform.ResponseHeader, reusedConn bool) bool {
+	return response.RequestID == r.clientRequest.ID || (response.RequestID == "" && response.NotExecuted && !reusedConn)
 }
 
 // dialTimeout is the timeout for connecting to an endpoint. The longest network path
