streamcheck: reject lines that belong to no event stream

It could happen in entries, which continue streams at another endpoint: every line that did not begin with data: passed the check, and the status of the response that continues a stream was not looked at. An agent passes on an engine's rejection of an invalid request with its body.

Change: a line that is no field of an event stream is malformed, and a response that continues a stream must have status 200. TestChecker's three new cases failed before (text of an error, head of another response, JSON error). TestStreamHasNoErrorOfAnotherEndpoint did not fail before, since its own check was the same one. Gateways were not affected (TestBrokenStreamContinuesWithNothingElse).

--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -170,6 +170,11 @@
 		return false
 	}
 	s.exchange = resumed
+	if resumed.response.Status() != fiber.StatusOK {
+		// The body is the text of an error, not a stream.
+		s.closeExchange()
+		return false
+	}
 	entry.Log.Emit(event.StreamResumed, event.Fields{"requestId": s.request.id, "from": failedEndpoint, "to": resumed.endpoint.Name, "cause": cause.Error()})
 	return true
 }
--- a/internal/fakes/engine.go
+++ b/internal/fakes/engine.go
@@ -59,6 +59,8 @@
 	Truncated int `json:"cut"`
 	// Duplicated is the number of next responses that are sent twice.
 	Duplicated int `json:"duplicate"`
+	// RejectResumed responds with an error to requests that continue a stream.
+	RejectResumed bool `json:"rejectResumed"`
 	// WrongWeights is the number of next responses generated from other weights.
 	WrongWeights int `json:"swapUnnoticed"`
 }
@@ -188,6 +190,13 @@
 	e.counts.Rejected++
 }
 
+// rejectsResumed reports whether requests that continue a stream are rejected.
+func (e *Engine) rejectsResumed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults.RejectResumed
+}
+
 func (e *Engine) applyFaults(completion *activeCompletion) {
 	original := *completion
 	if e.faults.Misdirected > 0 {
--- a/internal/fakes/enginehttp.go
+++ b/internal/fakes/enginehttp.go
@@ -94,6 +94,10 @@
 	}
 	prompt := request.Messages[len(request.Messages)-1].Content
 	resumeFrom, _ := strconv.Atoi(c.Get(outcome.ResumeFromHeader))
+	if resumeFrom > 0 && e.rejectsResumed() {
+		e.countRejected()
+		return c.Status(400).SendString("the stream\n\ncannot be continued\n\n")
+	}
 	requestID := string(append([]byte(nil), c.Get(outcome.RequestIDHeader)...))
 	completion, ok := e.startCompletion(requestID, prompt, string(append([]byte(nil), c.Get("Priority")...)))
 	if !ok {
--- a/internal/streamcheck/checker.go
+++ b/internal/streamcheck/checker.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 )
@@ -19,7 +20,8 @@
 	// ErrIncomplete means that the stream ended early: without its end marker, with
 	// an end marker before the finish reason, or with an error event.
 	ErrIncomplete = errors.New("stream ended without its end marker")
-	// ErrMalformed means that an event is not a chat completion chunk.
+	// ErrMalformed means that an event is not a chat completion chunk, or that a line belongs
+	// to no event.
 	ErrMalformed = errors.New("event is not a chat completion chunk")
 )
 
@@ -69,7 +71,7 @@
 	}
 	data, isData := bytes.CutPrefix(line, dataPrefix)
 	if !isData {
-		return nil
+		return checkOtherLine(line)
 	}
 	data = bytes.TrimSpace(data)
 	if bytes.Equal(data, endMarker) {
@@ -82,6 +84,19 @@
 	return c.checkEvent(data)
 }
 
+// otherPrefixes are the beginnings of the lines of an event stream without data. A line that
+// begins with a colon is a comment.
+var otherPrefixes = [][]byte{[]byte(":"), []byte("event:"), []byte("id:"), []byte("retry:")}
+
+// checkOtherLine checks a line without data. Any line that is not part of an event stream is
+// from something else, such as the text of an error.
+func checkOtherLine(line []byte) error {
+	if len(line) == 0 || slices.ContainsFunc(otherPrefixes, func(prefix []byte) bool { return bytes.HasPrefix(line, prefix) }) {
+		return nil
+	}
+	return ErrMalformed
+}
+
 func (c *Checker) checkEvent(data []byte) error {
 	var chunk completionChunk
 	if err := json.Unmarshal(data, &chunk); err != nil || len(chunk.Choices) == 0 {
--- a/internal/streamcheck/checker_test.go
+++ b/internal/streamcheck/checker_test.go
@@ -29,6 +29,10 @@
 		{"another set", []string{chunk("r", "x", "a", "null")}, streamcheck.ErrWrongSet, false},
 		{"error event", []string{"event: error", "data: {}"}, streamcheck.ErrIncomplete, false},
 		{"not a chunk", []string{"data: hello"}, streamcheck.ErrMalformed, false},
+		{"text of an error", []string{chunk("r", "s", "a", "null"), "", "the engine failed"}, streamcheck.ErrMalformed, false},
+		{"head of another response", []string{chunk("r", "s", "a", "null"), "", "HTTP/1.1 500 Internal Server Error"}, streamcheck.ErrMalformed, false},
+		{"JSON error", []string{`{"error":{"message":"no"}}`}, streamcheck.ErrMalformed, false},
+		{"other fields", []string{"id: 1", "event: message", "retry: 5"}, nil, false},
 		{"comment", []string{": ping"}, nil, false},
 	}
 	for _, test := range tests {
--- a/internal/system/outcome_test.go
+++ b/internal/system/outcome_test.go
@@ -71,6 +71,27 @@
 	})
 }
 
+// Guards against the text of an error in the middle of a stream: the stream breaks off, and the
+// endpoint at which it is to continue responds with an error.
+func TestStreamHasNoErrorOfAnotherEndpoint(t *testing.T) {
+	inBubble(t, func(s *system) {
+		got := make(chan callResult, 1)
+		group := concurrency.NewGroup(context.Background())
+		group.Go(func(context.Context) { got <- s.chatCompletion(0) })
+		time.Sleep(120 * time.Millisecond)
+		for name, engine := range s.engines {
+			engine.SetFaults(fakes.EngineFaults{RejectResumed: true})
+			if engine.Status().InFlight > 0 {
+				s.network.Disconnect(name, "entry-0")
+			}
+		}
+		if result := <-got; result.complete || result.err != nil || result.outcome != outcome.Unknown {
+			t.Errorf("the chat completion ended with %+v, want an error event", result)
+		}
+		group.Wait()
+	})
+}
+
 // A caller disconnects during a stream. The test guards against an engine that
 // keeps generating.
 func TestCancellationReachesTheEngine(t *testing.T) {
