dispatch: send nothing to endpoints that say they leave

New rule of the users (DRAIN): an endpoint that leaves says so in its responses, and a gateway that has passed one on sends it nothing later than the drain time. Gateways did not use it and sent requests for 3 to 11 s (test).

Change: an announced leave takes the endpoint out of use at once, for its incarnation, and spreads like a limit. TestLeavingEndpointReceivesNoMoreRequests failed before and passes, with endpoints that are shared, owned, and lent across cells.

--- a/internal/dispatch/announcement.go
+++ b/internal/dispatch/announcement.go
@@ -64,6 +64,11 @@
 	return relevant && a.incarnation > 0 && (held || now.Sub(a.observedAt) <= observedMaxAge)
 }
 
+// leaving reports whether the endpoint said that it is about to shut down.
+func (a *announced) leaving(endpoint *clusterstate.Endpoint) bool {
+	return a.Leaving && a.incarnation == endpoint.Incarnation
+}
+
 // RecordAnnouncement records what an endpoint says about itself in a response to this gateway,
 // and reports whether that differs from before.
 func (d *Dispatcher) RecordAnnouncement(endpoint clusterstate.Endpoint, announcement clusterstate.Announcement) bool {
--- a/internal/dispatch/federation.go
+++ b/internal/dispatch/federation.go
@@ -79,7 +79,7 @@
 			break
 		}
 		asked := time.Now()
-		grant, remoteRefusal, err := f.AcquireRemote(ctx, lender.member, job)
+		grant, remoteRefusal, err := f.ask(ctx, lender.member, job)
 		if ctx.Err() != nil {
 			// The answer, if there is one, says nothing about the lender.
 			if grant != nil {
@@ -132,7 +132,7 @@
 			continue
 		}
 		asked++
-		grant, _, err := f.AcquireRemote(ctx, member, job)
+		grant, _, err := f.ask(ctx, member, job)
 		if grant != nil && ctx.Err() != nil {
 			grant.Release()
 			return nil
@@ -145,6 +145,17 @@
 	return nil
 }
 
+// ask asks another gateway for an endpoint that this one need not avoid.
+func (f *Federation) ask(ctx context.Context, member peering.Member, job *Job) (*Grant, Refusal, error) {
+	grant, refusal, err := f.AcquireRemote(ctx, member, f.Local.withoutAvoided(job))
+	if grant != nil && f.Local.Avoids(&grant.Endpoint) {
+		// A response to another request arrived in the meantime.
+		grant.Release()
+		return nil, Refusal{Reason: Overloaded, RetryAfter: overloadedRetryAfter}, nil
+	}
+	return grant, refusal, err
+}
+
 // excluded reports whether a gateway is not asked for now.
 func (f *Federation) excluded(name string) bool {
 	f.mu.Lock()
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -94,7 +94,7 @@
 	}
 	state := d.state(endpoint.ID)
 	state.recordEntry(endpoint, now)
-	if state.replaced(endpoint, now) || state.health.inBackoff(now) {
+	if state.replaced(endpoint, now) || state.health.inBackoff(now) || state.announced.leaving(endpoint) {
 		return endpointSnapshot{}, false
 	}
 	snapshot := endpointSnapshot{endpoint: endpoint, state: state, degraded: state.health.degraded(now), distance: d.distance(endpoint), pace: state.pace(endpoint, now)}
