sockets: notice within two seconds that a connection to the store fell silent

Cause: keep-alive probes need three seconds, the whole bound, before the first list. Change: connections of gateways to the store close after one lost probe, two seconds after the last byte.

--- a/cmd/mimosaward-gateway/main.go
+++ b/cmd/mimosaward-gateway/main.go
@@ -18,7 +18,7 @@
 		Run: func(ctx context.Context, env cli.Environment) error {
 			process := &gateway.Gateway{
 				Deployment: env.Deployment, Reload: env.Reload, Log: env.Log, Registry: env.Registry,
-				Listen: sockets.NewListen(env.LogAcceptError), Dial: sockets.Dial, DialStore: sockets.DialFailFast, Disconnected: sockets.ClosedByPeer, Stale: sockets.Stale,
+				Listen: sockets.NewListen(env.LogAcceptError), Dial: sockets.Dial, DialStore: sockets.DialStore, Disconnected: sockets.ClosedByPeer, Stale: sockets.Stale,
 			}
 			return process.Run(ctx)
 		},
--- a/internal/peering/sharedstore_test.go
+++ b/internal/peering/sharedstore_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/mimosaward/mimosaward/internal/concurrency"
 	"github.com/mimosaward/mimosaward/internal/informer"
+	"github.com/mimosaward/mimosaward/internal/sockets"
 )
 
 // sharedStore is an object store whose watches report changes at once. Processes can be cut
@@ -69,7 +70,7 @@
 // keepAliveTimeout is the time after which a process detects that a connection is dead, with
 // the socket options that gateways set, and connectTimeout that of a new connection.
 const (
-	keepAliveTimeout = 3 * time.Second
+	keepAliveTimeout = sockets.StoreSilenceTimeout
 	connectTimeout   = 300 * time.Millisecond
 )
 
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -17,15 +17,35 @@
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
-	// userTimeout is how long sent data may remain unacknowledged before the connection
-	// is closed (TCP_USER_TIMEOUT).
+	// userTimeout is how long sent data or probes may remain unacknowledged before the
+	// connection is closed (TCP_USER_TIMEOUT).
 	userTimeout = 2500 * time.Millisecond
+	// storeUserTimeout is the same for connections to the object store. It is shorter than the
+	// time to the second probe, so that a single lost probe closes the connection.
+	storeUserTimeout    = 1500 * time.Millisecond
+	storeKeepAliveCount = 1
+
+	// StoreSilenceTimeout is the time after which a connection to the object store that fell
+	// silent is closed. The changes that a watch missed must then still reach all gateways
+	// within the time in which configurations take effect.
+	StoreSilenceTimeout = keepAliveIdle + storeKeepAliveCount*keepAliveInterval
 )
 
 // Dial opens a TCP connection to an address.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
+	return dial(ctx, address, keepAliveCount, userTimeout)
+}
+
+// DialStore opens a TCP connection to the object store. It fails after failFastTimeout.
+func DialStore(address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), failFastTimeout)
+	defer cancel()
+	return dial(ctx, address, storeKeepAliveCount, storeUserTimeout)
+}
+
+func dial(ctx context.Context, address string, probes int, userTimeout time.Duration) (net.Conn, error) {
 	dialer := net.Dialer{
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: probes},
 		Control: func(_, _ string, conn syscall.RawConn) error {
 			var optionErr error
 			err := conn.Control(func(fd uintptr) {
