gateway: wait a second at most after a refusal without an ID on a used connection

The fake endpoint had refused them without an ID on kept connections, which the gateway skips since, and it waited for another response until it was stopped.

Change: after such a refusal the response is waited for at most a second; then the outcome is unknown.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -63,7 +63,7 @@
 	a := &attempt{request: r, grant: grant, exchange: exchange, stopAbort: stopAbort}
 	r.attempt = a
 	responseHeader, err := exchange.ReadHeader(r.deadline, !r.httpCtx.IsHead(), func(h *fasthttp.ResponseHeader) bool {
-		return r.ownsResponse(platform.ParseResponseHeader(h), conn.Reused())
+		return r.ownsResponse(platform.ParseResponseHeader(h), conn)
 	})
 	if err != nil {
 		a.discard()
@@ -108,10 +108,22 @@
 	})
 }
 
+// ambiguousWait is how long a response is waited for after a refusal that may belong to an
+// earlier request. It is about the longest time to the first event that counts as on time.
+const ambiguousWait = time.Second
+
 // ownsResponse reports whether a response belongs to the request. A refusal may carry no
-// request ID, but on a connection that carried an earlier request, it may belong to that one.
-func (r *request) ownsResponse(response platform.ResponseHeader, reusedConn bool) bool {
-	return response.RequestID == r.clientRequest.ID || (response.RequestID == "" && response.NotExecuted && !reusedConn)
+// request ID, but on a connection that carried an earlier request, it may belong to that one:
+// then the response to this request is waited for, but not for long.
+func (r *request) ownsResponse(response platform.ResponseHeader, conn *connpool.Conn) bool {
+	if response.RequestID != "" || !response.NotExecuted || !conn.Reused() {
+		return response.RequestID == r.clientRequest.ID || (response.RequestID == "" && response.NotExecuted)
+	}
+	if until := time.Now().Add(ambiguousWait); until.Before(r.deadline) {
+		// If this fails, so does the read of the next response.
+		_ = conn.SetReadDeadline(until)
+	}
+	return false
 }
 
 // dialTimeout is the timeout for connecting to an endpoint. The longest network path
--- a/internal/integration/brokenanswer_test.go
+++ b/internal/integration/brokenanswer_test.go
@@ -109,6 +109,23 @@
 	}
 }
 
+// Guards against a request that waits until its deadline because the endpoint refused it without
+// its ID on a connection that had carried other requests.
+func TestRefusalWithoutIDIsAnsweredSoon(t *testing.T) {
+	withInstallation(t, func(i *installation) {
+		callers := concurrency.NewGroup(context.Background())
+		for range 12 {
+			warmUp := i.chatCall(0)
+			callers.Go(func(context.Context) { i.do(warmUp) })
+		}
+		callers.Wait()
+		i.setFaults("drafts", platformtest.EndpointFaults{Overloaded: true, Anonymous: true})
+		if response := i.do(i.chatCall(0)); response.Duration > 3*time.Second {
+			t.Errorf("the refused request was answered with status %d after %v, want 3s at most", response.Status, response.Duration)
+		}
+	})
+}
+
 // Guards against an error of another endpoint, or the end of the response, in the middle of a
 // stream that broke off.
 func TestBrokenStreamContinuesWithNothingElse(t *testing.T) {
