lifecycle: limits, refusals with a time, and a store from an older copy in the soak

New events of the process soak: an endpoint names a request limit that changes and ends, turns requests away for a named time, the store returns from an older copy. It checks the limits from what the endpoints receive, and at the end that every gateway uses the last configuration. make process-soak takes GATEWAYS and ENGINES.

--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,8 @@
 STEPS ?= 2000
 DURATION ?= 1m
 FAULTS ?= false
+GATEWAYS ?= 3
+ENGINES ?= 2
 
 .PHONY: build demo test lint unit rename bench soak process-soak capacity docs
 
@@ -71,9 +73,10 @@
 	go test -race ./internal/system -count=1 -timeout 120m -v -run TestSoak -args -seed $(SEED) -steps $(STEPS)
 
 # Runs the randomized test of the real programs: make process-soak SEED=7 DURATION=5m
-# With FAULTS=true, processes are also killed and endpoints fail.
+# With FAULTS=true, processes are also killed and endpoints fail. GATEWAYS and ENGINES, each with a
+# loader, set the size of the installation.
 process-soak:
-	go test -race ./internal/lifecycle -count=1 -timeout 120m -v -run TestProcessSoak -args -seed $(SEED) -duration $(DURATION) -faults=$(FAULTS)
+	go test -race ./internal/lifecycle -count=1 -timeout 120m -v -run TestProcessSoak -args -seed $(SEED) -duration $(DURATION) -faults=$(FAULTS) -gateways $(GATEWAYS) -engines $(ENGINES)
 
 # Generates docs/CAPACITY.md from docs/measurements.jsonl, which contains the output of
 # make bench.
--- a/internal/lifecycle/ledger_test.go
+++ b/internal/lifecycle/ledger_test.go
@@ -35,6 +35,7 @@
 	findings []string
 	refused  []refusedConnection
 	counts   map[string]int
+	limits   []limitInterval
 	// unread lists the attempts that got no response because no process read them.
 	unread []*attempt
 }
@@ -62,6 +63,12 @@
 	l.attempts = append(l.attempts, a)
 }
 
+func (l *ledger) addLimit(interval limitInterval) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limits = append(l.limits, interval)
+}
+
 func (l *ledger) addFinding(format string, args ...any) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -100,6 +107,9 @@
 			findings = append(findings, endpoint.ID+" loaded chunks that are not those of its version")
 		}
 	}
+	for _, interval := range l.limits {
+		findings = append(findings, interval.judge()...)
+	}
 	executions := s.executions()
 	for _, a := range l.attempts {
 		for _, finding := range l.judgeAttempt(a, executions[a.call.id]) {
--- a/internal/lifecycle/scenario_test.go
+++ b/internal/lifecycle/scenario_test.go
@@ -24,9 +24,13 @@
 	keys        int
 	version     int64
 
-	mu     sync.Mutex
-	log    []string
-	counts map[string]int
+	restoring sync.Mutex
+
+	mu sync.Mutex
+	// claimed holds the endpoints that are in use by an event.
+	claimed map[string]bool
+	log     []string
+	counts  map[string]int
 }
 
 // event is a random event. The random numbers are those of the event, since events overlap.
@@ -51,6 +55,9 @@
 		{"SIGHUP a loader", 1, func(r *rand.Rand) { s.hangUp(s.loader(r), r) }},
 		{"change the desired state", 6, s.configure},
 		{"roll out a version", 1, s.rollOut},
+		{"endpoint limits its requests", 2, s.limitRequests},
+		{"endpoint turns requests away", 2, s.turnAway},
+		{"store returns from an older copy", 1, s.restoreStore},
 	}
 	if s.ledger.faults {
 		list = append(
@@ -296,6 +303,10 @@
 // dropResponses lets an endpoint drop its responses for a while.
 func (s *scenario) dropResponses(random *rand.Rand) {
 	endpoint := s.site.endpoints[random.IntN(len(s.site.endpoints))]
+	if !s.claim(endpoint) {
+		return
+	}
+	defer s.release(endpoint)
 	endpoint.SetFaults(platformtest.EndpointFaults{DropResponses: true, TruncateStreams: true})
 	time.Sleep(between(random, 100*time.Millisecond, 2*time.Second))
 	endpoint.SetFaults(platformtest.EndpointFaults{})
--- a/internal/lifecycle/site_test.go
+++ b/internal/lifecycle/site_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -64,8 +65,26 @@
 	temporaryKey string
 }
 
+// manyHosts returns the hosts and those that follow first, count in all.
+func manyHosts(hosts []int, first, count int) []int {
+	all := slices.Clone(hosts)
+	for host := first; len(all) < count; host++ {
+		all = append(all, host)
+	}
+	return all
+}
+
+// Hosts of the further gateways and engines of a large site.
+const (
+	firstFurtherGateway = 51
+	firstFurtherEngine  = 131
+)
+
 // newSite serves the fakes. It starts no process.
-func newSite(t testing.TB) *site {
+func newSite(t testing.TB) *site { return newSiteOf(t, len(gatewayHosts), len(engineHosts)) }
+
+// newSiteOf is like newSite for a number of gateways and engines.
+func newSiteOf(t testing.TB, gateways, engines int) *site {
 	s := &site{t: t, directory: outputDirectory(t), fakes: concurrency.NewGroup(context.Background()), store: platformtest.NewStore()}
 	s.origin = &platformtest.Origin{Model: modelName, Chunks: chunkCount, ChunkBytes: chunkBytes, Layers: engineConfig.Layers, NewestVersion: 1}
 	s.serve(s.findNetwork(), s.store.Handle)
@@ -73,11 +92,11 @@
 	for index, host := range []int{21, 22, 23, 24} {
 		s.startEndpoint(host, plainServices[index%2], nil)
 	}
-	for _, host := range engineHosts {
+	for _, host := range manyHosts(engineHosts, firstFurtherEngine, engines) {
 		s.startEndpoint(host, engineService, platformtest.NewEngine(modelName, engineConfig, s.origin, 1))
 		s.loaders = append(s.loaders, newDaemon(s, roleLoader, host))
 	}
-	for _, host := range gatewayHosts {
+	for _, host := range manyHosts(gatewayHosts, firstFurtherGateway, gateways) {
 		s.gateways = append(s.gateways, newDaemon(s, roleGateway, host))
 	}
 	s.state, s.temporaryKey = s.initialState(), stableKey
--- a/internal/lifecycle/soak_test.go
+++ b/internal/lifecycle/soak_test.go
@@ -17,6 +17,8 @@
 var (
 	soakSeed     = flag.Uint64("seed", 6, "seed of the randomized run")
 	soakDuration = flag.Duration("duration", 12*time.Second, "time for which events start in the randomized run")
+	soakGateways = flag.Int("gateways", len(gatewayHosts), "number of gateways in the randomized run, at most 80")
+	soakEngines  = flag.Int("engines", len(engineHosts), "number of engines in the randomized run, at most 120")
 	soakFaults   = flag.Bool("faults", false, "also kill processes, drop responses and exhaust file descriptors; requests may be lost then")
 )
 
@@ -33,7 +35,7 @@
 // against requests that a gateway has read and that get no complete response, that run
 // twice, or that run although the response says that they did not.
 func TestProcessSoak(t *testing.T) {
-	s := newSite(t)
+	s := newSiteOf(t, *soakGateways, *soakEngines)
 	s.start()
 	records := newLedger()
 	records.faults = *soakFaults
@@ -48,11 +50,12 @@
 	}
 	events := &scenario{site: s, ledger: records, random: rand.New(rand.NewPCG(*soakSeed, 9))}
 	events.run(*soakDuration)
+	events.checkConfiguration()
 	callers.Stop()
 	callers.Wait()
 	s.close()
 	findings := records.judge(s)
-	t.Logf("seed %d, %s, faults %t: %d attempts: %v", *soakSeed, *soakDuration, *soakFaults, len(records.attempts), records.counts)
+	t.Logf("seed %d, %s, faults %t, %d processes: %d attempts: %v", *soakSeed, *soakDuration, *soakFaults, len(s.daemons()), len(records.attempts), records.counts)
 	t.Logf("events: %v", events.counts)
 	for _, finding := range findings[:min(len(findings), maxListed)] {
 		t.Error(finding)
