gateway: renew the retry budget with each request

Cause: the gateway never recorded first attempts, so its budget was the first ten retries of its life; and a retry after a 5xx took two credits. Change: each request adds 15% of a retry, up to ten, and a retry takes one.

--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -55,6 +55,7 @@
 // retryable.
 func (r *request) sendWithRetries(job *dispatch.Job) (*attempt, *refusal) {
 	lastRefusal := notExecuted(dispatch.NoEndpoint, defaultRetryAfter)
+	r.gateway.retries.RecordAttempt()
 	for attempts, unsent := 0, 0; ; {
 		grant, refused := r.acquire(job, attempts)
 		if refused != nil {
@@ -71,12 +72,14 @@
 			r.gateway.metrics.recordAttempt(grant, attemptAnswered)
 			return a, nil
 		}
+		paid := false
 		if failed == nil {
 			// The endpoint's error response is returned to the client if no other
 			// attempt is allowed.
 			if attempts+1 >= r.route.MaxAttempts || !r.gateway.retries.AllowRetry() {
 				return a, nil
 			}
+			paid = true
 			a.discard()
 			failed = &failure{sent: true, mayHaveRun: true}
 		}
@@ -93,7 +96,7 @@
 			return nil, lastRefusal
 		case attempts >= r.route.MaxAttempts || unsent >= maxUnsentAttempts:
 			return nil, lastRefusal
-		case failed.sent && !r.gateway.retries.AllowRetry():
+		case failed.sent && !paid && !r.gateway.retries.AllowRetry():
 			return nil, lastRefusal
 		}
 	}
