gateway: pass on no error that promises what the endpoint does not say

An endpoint's own 408, 429 or 503 without the header that says not executed may come from a request that ran. Passed on, it told the caller that the request had not run (REFUSED; test with non-idempotent and idempotent routes). Change: such an error becomes a 502 without the endpoint's signature, after the retries that the route allows.

--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -44,12 +44,34 @@
 	if a.response.Status < fasthttp.StatusMultipleChoices {
 		r.recordAnswered()
 	}
+	if a.falsePromise() {
+		a.finish()
+		r.refuse(possiblyExecuted(reasonEndpointError))
+		return
+	}
 	platform.CopyResponseHeader(&r.httpCtx.Response.Header, a.exchange.Header())
 	r.httpCtx.Response.SetBody(body)
 	r.logEnded(a.response.Status, time.Since(r.arrived), nil)
 	a.finish()
 }
 
+// reasonEndpointError is the reason for the refusal that replaces an endpoint's error.
+const reasonEndpointError = "endpointError"
+
+// falsePromise reports whether the status of an endpoint's error would tell the caller that the
+// request did not run, although the endpoint does not say so.
+func (a *attempt) falsePromise() bool {
+	if a.response.NotExecuted {
+		return false
+	}
+	switch a.response.Status {
+	case fasthttp.StatusRequestTimeout, fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // sendWithRetries sends the request to one endpoint after another until one responds. If
 // an endpoint may have executed the request, it is sent again only if the route is
 // retryable.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -54,6 +54,11 @@
 		r.refuse(possiblyExecuted("answerBroken"))
 		return
 	}
+	if a.falsePromise() {
+		a.finish()
+		r.refuse(possiblyExecuted(reasonEndpointError))
+		return
+	}
 	platform.CopyResponseHeader(&r.httpCtx.Response.Header, a.exchange.Header())
 	r.httpCtx.Response.SetBody(body)
 	a.finish()
