connpool: bound the size of a body that is read as a whole

An endpoint that sends a body without end made its gateway buffer 198 MB in two seconds (test); gateways have 284 MB, so all their requests were at risk. TestAnswerWithoutEndIsBounded failed before for bodies with a length, without, and in chunks; heads, interim responses and events were bounded already.

--- a/internal/connpool/exchange.go
+++ b/internal/connpool/exchange.go
@@ -127,12 +127,23 @@
 	return e.bodyReader().Read(buffer)
 }
 
+// maxBufferedBody is the maximum size of a body that is read as a whole: an endpoint in trouble
+// may send bytes without end.
+const maxBufferedBody = 32 << 20
+
+// ErrBodyTooLarge means that a body exceeds maxBufferedBody.
+var ErrBodyTooLarge = errors.Newf("response body exceeds %d bytes", maxBufferedBody)
+
 // ReadAll reads the rest of the body and fails after the deadline.
 func (e *Exchange) ReadAll(deadline time.Time) ([]byte, error) {
 	if err := e.conn.SetReadDeadline(deadline); err != nil {
 		return nil, err
 	}
-	return io.ReadAll(e.bodyReader())
+	body, err := io.ReadAll(io.LimitReader(e.bodyReader(), maxBufferedBody+1))
+	if err == nil && len(body) > maxBufferedBody {
+		err = ErrBodyTooLarge
+	}
+	return body, err
 }
 
 // Finish ends an exchange whose body was read completely. If reuse is false, the connection
