--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -30,7 +30,9 @@
 	event, err := relay.events.Next()
 	if err != nil && (!errors.Is(err, io.EOF) || !a.exchange.Framed()) {
 		r.suspectCrash(a.grant.Endpoint, phaseFirstEvent, err)
-		_ = relay.Close()
+		defer r.end()
+		a.discard()
+		a.grant.Release()
 		r.refuse(possiblyExecuted("streamBroken"))
 		return
 	}
@@ -61,6 +63,7 @@
 	}
 	platform.CopyResponseHeader(&r.httpCtx.Response.Header, a.exchange.Header())
 	r.httpCtx.Response.SetBody(body)
+	r.logEnded(a.response.Status, time.Since(r.arrived), nil)
 	a.finish()
 }
 
--- a/internal/integration/retry_test.go
+++ b/internal/integration/retry_test.go
@@ -51,3 +51,45 @@
 		})
 	}
 }
+
+// Guards against requests that are counted twice, or not at all: the share of failures that
+// operators see was wrong.
+func TestEachRequestIsCountedOnce(t *testing.T) {
+	brokenHead := func(attempt, signature string) string {
+		return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nX-Server-Signature: " + signature + "\r\nTransfer-Encoding: chunked\r\n\r\n"
+	}
+	failure := func(attempt, signature string) string {
+		return "HTTP/1.1 500 Internal Server Error\r\nX-Attempt-Id: " + attempt + "\r\nX-Server-Signature: " + signature + "\r\nContent-Length: 2\r\n\r\nno"
+	}
+	cases := map[string]struct {
+		service string
+		faults  platformtest.EndpointFaults
+		call    func(i *installation) platformtest.Request
+		outcome string
+	}{
+		"served":                    {"booking", platformtest.EndpointFaults{}, func(i *installation) platformtest.Request { return i.call(0, bookPath) }, "served"},
+		"served stream":             {"drafts", platformtest.EndpointFaults{}, func(i *installation) platformtest.Request { return i.chatCall(0) }, "served"},
+		"error of an endpoint":      {"booking", platformtest.EndpointFaults{Fail: true}, func(i *installation) platformtest.Request { return i.call(0, bookPath) }, "failed"},
+		"error instead of a stream": {"drafts", platformtest.EndpointFaults{RawResponse: failure}, func(i *installation) platformtest.Request { return i.chatCall(0) }, "failed"},
+		"stream without an event":   {"drafts", platformtest.EndpointFaults{RawResponse: brokenHead}, func(i *installation) platformtest.Request { return i.chatCall(0) }, "refused"},
+		"refused":                   {"booking", platformtest.EndpointFaults{Overloaded: true}, func(i *installation) platformtest.Request { return i.call(0, bookPath) }, "refused"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			withInstallation(t, func(i *installation) {
+				i.setFaults(c.service, c.faults)
+				i.do(c.call(i))
+				time.Sleep(time.Second)
+				for _, outcome := range []string{"served", "failed", "refused", "callerLeft"} {
+					want := 0.0
+					if outcome == c.outcome {
+						want = 1
+					}
+					if got := i.requestsWithOutcome(gatewayName(0), outcome); got != want {
+						t.Errorf("%v requests count as %s, want %v", got, outcome, want)
+					}
+				}
+			})
+		})
+	}
+}
