--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -58,8 +58,8 @@
 // reasonEndpointError is the reason for the refusal that replaces an endpoint's error.
 const reasonEndpointError = "endpointError"
 
-// falsePromise reports whether the status of an endpoint's error would tell the caller that the
-// request did not run, although the endpoint does not say so.
+// falsePromise reports whether the status of an endpoint's error means to callers that the request
+// did not run, although the endpoint does not say so.
 func (a *attempt) falsePromise() bool {
 	if a.response.NotExecuted {
 		return false
--- a/internal/sockets/sockets_test.go
+++ b/internal/sockets/sockets_test.go
@@ -11,7 +11,7 @@
 	"github.com/mimosaward/mimosaward/internal/sockets"
 )
 
-// Guards against a watch of the object store that hears nothing of changes for longer than
+// Guards against a watch of the object store that misses changes for longer than
 // StoreSilenceTimeout after its connection fell silent.
 func TestStoreConnectionDetectsSilence(t *testing.T) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
