--- a/internal/informer/era_test.go
+++ b/internal/informer/era_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -133,10 +134,11 @@
 // that revision. Also guards against a loop of calls when history expires at once.
 func TestWatchFromRevisionGivenOutAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		era, lists, watches := int64(1), 0, 0
+		era := int64(1)
+		var lists, watches atomic.Int64
 		inf := newRetainingInformer()
 		inf.List = func(context.Context, string, string) (informer.Page, error) {
-			lists++
+			lists.Add(1)
 			objects := objectsOf(era, "a=1@5")
 			if era == 2 {
 				objects = objectsOf(era, "a=2@6")
@@ -144,13 +146,13 @@
 			return informer.Page{Era: era, Revision: 7, Objects: slices.Collect(maps.Values(objects))}, nil
 		}
 		inf.Watch = func(ctx context.Context, _ string, after int64) (informer.Batch, error) {
-			watches++
-			if watches == 1 {
+			number := watches.Add(1)
+			if number == 1 {
 				// The store returned from an older copy while the watch was open.
 				era = 2
 				return informer.Batch{Era: 2, Revision: 8}, nil
 			}
-			if watches < 6 {
+			if number < 6 {
 				return informer.Batch{}, informer.ErrExpired
 			}
 			<-ctx.Done()
@@ -162,12 +164,12 @@
 		if diff := cmp.Diff("a=2", contents(inf)); diff != "" {
 			t.Errorf("copy (-want +got):\n%s", diff)
 		}
-		if lists > 3 {
-			t.Errorf("%d lists within 50 ms, want at most 3", lists)
+		if made := lists.Load(); made > 3 {
+			t.Errorf("%d lists within 50 ms, want at most 3", made)
 		}
 		time.Sleep(10 * time.Second)
-		if watches != 6 {
-			t.Errorf("%d watches, want the last one to stay open", watches)
+		if made := watches.Load(); made != 6 {
+			t.Errorf("%d watches, want the last one to stay open", made)
 		}
 		group.Stop()
 		group.Wait()
