--- a/internal/dispatch/candidate.go
+++ b/internal/dispatch/candidate.go
@@ -90,7 +90,7 @@
 	if job.Model == "" {
 		return true
 	}
-	version := snapshot.state.version(snapshot.endpoint, job.Model, now)
+	version := snapshot.servedVersion(job, now)
 	return version > 0 && version >= minVersion && (job.Version == 0 || version == job.Version)
 }
 
--- a/internal/dispatch/grant.go
+++ b/internal/dispatch/grant.go
@@ -59,6 +59,9 @@
 	Lender string
 	// Announcement is what the gateway that granted the job knew of the endpoint.
 	Announcement clusterstate.Announcement
+	// ServedVersion is the version of the job's model that the endpoint served, 0 for a plain
+	// service.
+	ServedVersion int64
 	// Candidates is the number of endpoints that could take the job.
 	Candidates int
 }
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -111,6 +111,15 @@
 	return snapshot, true
 }
 
+// servedVersion returns the version of the job's model that the endpoint serves, 0 if none or if
+// the job needs no model.
+func (s *endpointSnapshot) servedVersion(job *Job, now time.Time) int64 {
+	if job.Model == "" {
+		return 0
+	}
+	return s.state.version(s.endpoint, job.Model, now)
+}
+
 // hasFreeSlot reports whether the endpoint can take one more request from this gateway.
 func (d *Dispatcher) hasFreeSlot(snapshot *endpointSnapshot, config *configuration.Service, now time.Time) bool {
 	if snapshot.turnedAway > 0 {
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -22,6 +22,16 @@
 	return g.observer.Rollouts().NewestKnownFor(model, g.bounds.Load().Rollout-firstTokenMargin)
 }
 
+// replacedFor returns for how long a higher version of a model than the given one has been
+// known, 0 if there is none.
+func (g *Gateway) replacedFor(model string, version int64) time.Duration {
+	since := g.observer.Rollouts().ReplacedSince(model, version)
+	if version == 0 || since.IsZero() {
+		return 0
+	}
+	return time.Since(since)
+}
+
 const (
 	// historyInterval is how often the version history in the object store is checked for
 	// missing versions.
--- a/internal/storewatch/rollouts.go
+++ b/internal/storewatch/rollouts.go
@@ -93,6 +93,20 @@
 	return newest
 }
 
+// ReplacedSince returns since when a higher version of a model than the given one has been
+// known, or the zero time if there is none.
+func (r *Rollouts) ReplacedSince(model string, version int64) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var since time.Time
+	for _, entry := range r.versions[model] {
+		if entry.Version > version && (since.IsZero() || entry.Since.Before(since)) {
+			since = entry.Since
+		}
+	}
+	return since
+}
+
 // All returns the retained versions of all models.
 func (r *Rollouts) All() []KnownVersion {
 	r.mu.Lock()
