integration: test engines that are silent while a version is replaced

What callers saw: work on a version that had been replaced for more than the rollout bound. Cause: under examination. Fakes of endpoints can now fall silent: they read nothing, keep their connections and go on with what they received, except requests whose connections were closed.

--- a/internal/integration/installation_test.go
+++ b/internal/integration/installation_test.go
@@ -169,6 +169,7 @@
 
 func (i *installation) startEndpoint(endpoint *platformtest.Endpoint) {
 	network := i.network.ForProcess(endpoint.ID)
+	endpoint.PeerClosed = fakes.PeerClosed
 	i.endpoints[endpoint.ID] = endpoint
 	i.fakeGroup.Go(func(ctx context.Context) {
 		if err := endpoint.ServeRestarting(ctx, func() (net.Listener, error) { return network.Listen(endpoint.Address) }); err != nil {
