gateway: withdraw requests that may not begin on their endpoint any more

What callers saw: requests began on a version that had been replaced for longer than the rollout bound. Cause: the permission to run on a version was checked when a request was sent, with 0.7 s to spare. An engine that is silent for two seconds or more, which is no fault, begins the request when it goes on. Class: a permission that is checked at sending and used at the begin. An attempt is either settled or withdrawn, so that no connection is reset that carries another request. Ruled out: a larger margin at sending would keep engines idle before each load and still depend on the length of the silence.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -50,12 +50,15 @@
 	if err != nil {
 		return nil, &failure{err: err}
 	}
+	pending := &pendingAttempt{conn: conn, grant: grant, model: r.clientRequest.Inference.Model, sentAt: time.Now()}
+	r.pending.Store(pending)
 	ranBefore := r.mayHaveRun
 	r.mayHaveRun = true
 	stopAbort := context.AfterFunc(r.ctx, conn.Abort)
 	exchange, err := g.pool.Send(conn, requestHeader, r.httpCtx.Request.Body(), r.deadline)
 	if err != nil {
 		stopAbort()
+		r.settle()
 		sent := !errors.Is(err, connpool.ErrNotSent)
 		r.mayHaveRun = ranBefore || sent
 		return nil, &failure{sent: sent, mayHaveRun: sent, err: err}
@@ -67,6 +70,9 @@
 	})
 	if err != nil {
 		a.discard()
+		if pending.withdrawn() {
+			err = errWithdrawn
+		}
 		return nil, &failure{sent: true, mayHaveRun: true, err: err}
 	}
 	a.response = platform.ParseResponseHeader(responseHeader)
@@ -135,7 +141,8 @@
 // reused unless the client disconnected.
 func (a *attempt) finish() {
 	a.request.attempt = nil
-	if !a.stopAbort() {
+	withdrawn := !a.request.settle()
+	if !a.stopAbort() || withdrawn {
 		a.exchange.Discard()
 		return
 	}
@@ -146,6 +153,7 @@
 // connection.
 func (a *attempt) discard() {
 	a.request.attempt = nil
+	a.request.settle()
 	a.stopAbort()
 	a.exchange.Discard()
 }
--- a/internal/gateway/enginecrash.go
+++ b/internal/gateway/enginecrash.go
@@ -128,7 +128,7 @@
 	switch {
 	case len(parts) == 0, err == nil, r.ctx.Err() != nil, !time.Now().Before(r.deadline):
 		return
-	case errors.As(err, &timeout) && timeout.Timeout(), errors.Is(err, connpool.ErrResponseMismatch):
+	case errors.As(err, &timeout) && timeout.Timeout(), errors.IsAny(err, connpool.ErrResponseMismatch, errWithdrawn):
 		return
 	}
 	g := r.gateway
--- /dev/null
+++ b/internal/gateway/pendingattempt.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/mimosaward/mimosaward/internal/connpool"
+	"github.com/mimosaward/mimosaward/internal/dispatch"
+)
+
+// States of a pendingAttempt.
+const (
+	attemptPending int32 = iota
+	attemptSettled
+	attemptWithdrawn
+)
+
+// pendingAttempt is an attempt without a sign that the endpoint has begun to run it. A silent
+// endpoint may begin long after the request was sent, so that the permission to run, which is
+// checked before sending, must hold until then. It leaves its first state once, either settled
+// or withdrawn. It is safe for concurrent use.
+type pendingAttempt struct {
+	conn   *connpool.Conn
+	grant  *dispatch.Grant
+	model  string
+	sentAt time.Time
+
+	state atomic.Int32
+}
+
+// settle records that the endpoint has begun the request or that the attempt has ended. It
+// returns false if the attempt was withdrawn before.
+func (p *pendingAttempt) settle() bool {
+	return p.state.CompareAndSwap(attemptPending, attemptSettled) || p.state.Load() == attemptSettled
+}
+
+// withdraw resets the connection, so that the endpoint drops what it has not begun. It returns
+// false if the attempt is not pending any more; its connection may carry another request then.
+func (p *pendingAttempt) withdraw() bool {
+	if !p.state.CompareAndSwap(attemptPending, attemptWithdrawn) {
+		return false
+	}
+	p.conn.Abort()
+	return true
+}
+
+// withdrawn reports whether the attempt was withdrawn.
+func (p *pendingAttempt) withdrawn() bool { return p.state.Load() == attemptWithdrawn }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -46,6 +46,8 @@
 	// grant and attempt are the current ones, which a panic releases.
 	grant   *dispatch.Grant
 	attempt *attempt
+	// pending is the current attempt until it shows that the endpoint has begun to run it.
+	pending atomic.Pointer[pendingAttempt]
 	// mayHaveRun is true from the start of an attempt, unless the endpoint certainly did not
 	// execute the request.
 	mayHaveRun bool
@@ -111,6 +113,13 @@
 	return r
 }
 
+// settle ends the time in which the current attempt can be withdrawn, and returns false if that
+// happened before.
+func (r *request) settle() bool {
+	pending := r.pending.Swap(nil)
+	return pending == nil || pending.settle()
+}
+
 // end cancels the request's context and stops tracking it.
 func (r *request) end() {
 	r.cancel(nil)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -28,6 +28,9 @@
 	relay := &streamRelay{request: r, attempt: a}
 	relay.events = eventstream.Reader{Read: relay.readUpstream}
 	event, err := relay.events.Next()
+	if !r.settle() {
+		err = errWithdrawn
+	}
 	if err != nil && (!errors.Is(err, io.EOF) || !a.exchange.Framed()) {
 		r.suspectCrash(a.grant.Endpoint, phaseFirstEvent, err)
 		defer r.end()
