gateway: withdraw requests that must not reach their endpoint any more

What callers would see: a request reaches an endpoint after its drain time, or in an availability zone after its evacuation took effect, because the endpoint was silent when it was sent. Cause: the same class as requests that began on a replaced version: the permission is checked at sending and used at the arrival. Change: a pending attempt is also withdrawn shortly before the drain time or the evacuation bound, counted from when the gateway learned of it, unless the endpoint sent anything to this gateway since the request must have arrived: an endpoint that leaves runs what reached it in time. The view of the cluster holds since when endpoints are draining or gone and zones out of service. Conclusion: revoked keys need no such check, since their bound counts from when the caller sent the request; callers that leave reset their attempts already.

--- a/internal/clusterstate/view.go
+++ b/internal/clusterstate/view.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/mimosaward/mimosaward/internal/informer"
 )
@@ -17,8 +18,12 @@
 type View struct {
 	endpointsByService map[string][]Endpoint
 	position           informer.Position
-	evacuatedZones     map[string]bool
-	wantedVersions     map[string]int64
+	// endpoints are all endpoints, and departures since when some are draining or gone.
+	endpoints  []Endpoint
+	departures departures
+	// evacuatedZones holds since when availability zones are out of service.
+	evacuatedZones map[string]time.Time
+	wantedVersions map[string]int64
 }
 
 // ServiceEndpoints returns the endpoints of a service, ordered by ID. Callers must not
@@ -29,7 +34,17 @@
 func (v *View) Position() informer.Position { return v.position }
 
 // Evacuated reports whether an availability zone is out of service.
-func (v *View) Evacuated(zone string) bool { return v.evacuatedZones[zone] }
+func (v *View) Evacuated(zone string) bool { return !v.evacuatedZones[zone].IsZero() }
+
+// EvacuatedSince returns since when an availability zone is known to be out of service, or the
+// zero time if it is in service.
+func (v *View) EvacuatedSince(zone string) time.Time { return v.evacuatedZones[zone] }
+
+// DepartedSince returns since when a start of an endpoint is known to be draining or gone, or the
+// zero time if it is neither.
+func (v *View) DepartedSince(endpoint *Endpoint) time.Time {
+	return v.departures[endpointStart{id: endpoint.ID, incarnation: endpoint.Incarnation}]
+}
 
 // WantedVersion returns the version of a model that the operators want, 0 if none is set.
 func (v *View) WantedVersion(model string) int64 { return v.wantedVersions[model] }
@@ -64,7 +79,11 @@
 	for _, list := range byService {
 		slices.SortFunc(list, func(a, b Endpoint) int { return strings.Compare(a.ID, b.ID) })
 	}
-	s.update(func(next *View) { next.endpointsByService, next.position = byService, position })
+	now := time.Now()
+	s.update(func(next *View) {
+		next.departures = next.departures.after(next.endpoints, endpoints, now)
+		next.endpointsByService, next.endpoints, next.position = byService, endpoints, position
+	})
 }
 
 // newestByAddress returns the most recently started endpoint at each address. An endpoint
@@ -82,7 +101,20 @@
 
 // SetEvacuatedZones replaces the set of availability zones that are out of service.
 func (s *Store) SetEvacuatedZones(zones map[string]bool) {
-	s.update(func(next *View) { next.evacuatedZones = maps.Clone(zones) })
+	now := time.Now()
+	s.update(func(next *View) {
+		since := make(map[string]time.Time, len(zones))
+		for zone, evacuated := range zones {
+			if !evacuated {
+				continue
+			}
+			since[zone] = now
+			if known := next.EvacuatedSince(zone); !known.IsZero() {
+				since[zone] = known
+			}
+		}
+		next.evacuatedZones = since
+	})
 }
 
 // SetWantedVersions replaces the version of each model that the operators want.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,6 +80,7 @@
 	bounds        atomic.Pointer[deployment.Bounds]
 	metrics       *gatewayMetrics
 	requests      requestTracker
+	activity      endpointActivity
 	connections   connectionTracker
 	retryDetector retryDetector
 	store         *platform.Store
@@ -112,7 +113,10 @@
 	group.Go(g.peering.SyncCopies)
 	group.Every(disconnectCheckInterval, func(context.Context) { g.requests.cancelDisconnected(g.Disconnected) })
 	group.Every(withdrawInterval, func(context.Context) { g.withdrawExpired() })
-	group.Every(sweepInterval, func(context.Context) { g.pool.Sweep() })
+	group.Every(sweepInterval, func(context.Context) {
+		g.pool.Sweep()
+		g.activity.sweep()
+	})
 	serveErrors := make(chan error, 3)
 	callers := newServer(g.containPanics(g.handleRequest))
 	callers.ConnState = g.connections.setState
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -102,7 +102,11 @@
 }
 
 func (s *streamRelay) readUpstream(buffer []byte) (int, error) {
-	return s.attempt.exchange.Read(buffer, s.request.deadline)
+	n, err := s.attempt.exchange.Read(buffer, s.request.deadline)
+	if n > 0 {
+		s.request.gateway.activity.record(s.attempt.grant.Endpoint.ID)
+	}
+	return n, err
 }
 
 // Read implements io.Reader.
--- a/internal/integration/silence_test.go
+++ b/internal/integration/silence_test.go
@@ -10,11 +10,15 @@
 	"github.com/mimosaward/mimosaward/platform/platformtest"
 )
 
-// sendSteadily sends chat completions to the gateways of all zones, one every interval, until the
-// group stops.
-func (i *installation) sendSteadily(group *concurrency.Group, interval time.Duration) {
+// sendSteadily sends requests to the gateways of all zones, one every interval, until the group
+// stops.
+func (i *installation) sendSteadily(group *concurrency.Group, path string, interval time.Duration) {
 	for zone := range zoneCount {
-		template := i.chatCall(zone)
+		template := i.call(zone, path)
+		if path == "/draft/" {
+			template = i.chatCall(zone)
+		}
+		template.Timeout = 9 * time.Second
 		group.Go(func(ctx context.Context) {
 			for index := 0; concurrency.Sleep(ctx, interval); index++ {
 				call := template
@@ -34,7 +38,7 @@
 func TestSilentEnginesBeginNothingOnReplacedVersion(t *testing.T) {
 	withInstallation(t, func(i *installation) {
 		group := concurrency.NewGroup(context.Background())
-		i.sendSteadily(group, 50*time.Millisecond)
+		i.sendSteadily(group, "/draft/", 50*time.Millisecond)
 		time.Sleep(time.Second)
 		i.store.RequestRollout(modelName, 2)
 		named := time.Now()
@@ -64,3 +68,50 @@
 		}
 	})
 }
+
+// Guards against a request that reaches an endpoint after its drain time, or after the evacuation
+// of its availability zone took effect: the endpoint was silent when it received the request, and
+// read it when it went on.
+func TestSilentEndpointsReceiveNothingOnceTheyMustNot(t *testing.T) {
+	for name, c := range map[string]struct {
+		path     string
+		endpoint string
+		bound    time.Duration
+		begin    func(i *installation, endpoint *platformtest.Endpoint)
+	}{
+		"draining service":  {"/status/", "booking-0-0", bounds.Drain, func(_ *installation, e *platformtest.Endpoint) { e.Register("draining") }},
+		"draining engine":   {"/draft/", engineName(0, 0), bounds.Drain, func(_ *installation, e *platformtest.Endpoint) { e.Register("draining") }},
+		"removed service":   {"/status/", "booking-0-0", bounds.Drain, func(_ *installation, e *platformtest.Endpoint) { e.Deregister() }},
+		"evacuated service": {"/status/", "booking-0-0", bounds.ZoneEvacuation, func(i *installation, _ *platformtest.Endpoint) { i.store.Evacuate(zoneName(0)) }},
+		"evacuated engine":  {"/draft/", engineName(0, 0), bounds.ZoneEvacuation, func(i *installation, _ *platformtest.Endpoint) { i.store.Evacuate(zoneName(0)) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withInstallation(t, func(i *installation) {
+				i.configure(func(state *platformtest.DesiredState) {
+					for index := range state.Routes {
+						state.Routes[index].Timeout = 9000
+					}
+				})
+				group := concurrency.NewGroup(context.Background())
+				i.sendSteadily(group, c.path, 20*time.Millisecond)
+				time.Sleep(3 * time.Second)
+				endpoint := i.endpoints[c.endpoint]
+				endpoint.FallSilent(c.bound + time.Second)
+				time.Sleep(200 * time.Millisecond)
+				begun := time.Now()
+				c.begin(i, endpoint)
+				time.Sleep(c.bound + 3*time.Second)
+				group.Stop()
+				group.Wait()
+				for _, arrival := range endpoint.ArrivalLog() {
+					if late := arrival.At.Sub(begun) - c.bound; late > 0 {
+						t.Errorf("request %s reached %s %s after the time limit", arrival.AttemptID, c.endpoint, late)
+					}
+				}
+				if last := endpoint.ArrivalLog(); len(last) == 0 {
+					t.Error("no request reached the endpoint")
+				}
+			})
+		})
+	}
+}
