--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -28,6 +28,9 @@
 	relay := &streamRelay{request: r, attempt: a}
 	relay.events = eventstream.Reader{Read: relay.readUpstream}
 	event, err := relay.events.Next()
+	if !r.settle() {
+		err = errWithdrawn
+	}
 	if err != nil && (!errors.Is(err, io.EOF) || !a.exchange.Framed()) {
 		r.suspectCrash(a.grant.Endpoint, phaseFirstEvent, err)
 		defer r.end()
@@ -99,7 +102,11 @@
 }
 
 func (s *streamRelay) readUpstream(buffer []byte) (int, error) {
-	return s.attempt.exchange.Read(buffer, s.request.deadline)
+	n, err := s.attempt.exchange.Read(buffer, s.request.deadline)
+	if n > 0 {
+		s.request.gateway.activity.record(s.attempt.grant.Endpoint.ID)
+	}
+	return n, err
 }
 
 // Read implements io.Reader.
