gateway: withdraw nothing from a leaving endpoint that is not silent

What callers would see: a request that takes longer than 1.35 s at an endpoint that began to drain was broken off: 502 if it may run once, two runs otherwise. Cause: a regression of: that nothing was received from the endpoint counted as silence, but an endpoint that leaves gets no other requests. Change: silence is shown by the streams that the endpoint has begun, none of which goes on for half a second. A response header settles that the request has arrived. Short drain times are not cut to nothing. Conclusion: a bound that a silent plain service breaks is left rather than sound work.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -76,7 +76,7 @@
 		return nil, &failure{sent: true, mayHaveRun: true, err: err}
 	}
 	a.response = platform.ParseResponseHeader(responseHeader)
-	g.activity.record(grant.Endpoint.ID)
+	pending.arrived.Store(true)
 	r.recordAnnouncement(a)
 	if a.response.RetryAfter > 0 {
 		g.dispatcher.RecordTurnedAway(grant.Endpoint, a.response.RetryAfter)
--- a/internal/gateway/endpointactivity.go
+++ b/internal/gateway/endpointactivity.go
@@ -1,42 +1,59 @@
 package gateway
 
 import (
-	"maps"
 	"sync"
 	"time"
 )
 
-// activityRetention is how long the activity of an endpoint is remembered. It exceeds the time
-// for which a request can be pending.
-const activityRetention = time.Minute
+// silenceTime is how long none of the streams that an endpoint has begun may go on before the
+// endpoint counts as silent. It exceeds the pauses between the events of a loaded engine.
+const silenceTime = 500 * time.Millisecond
 
-// endpointActivity holds when the gateway last received anything from each endpoint. It is safe for
-// concurrent use.
+// endpointActivity tells endpoints that are silent from those that only take long for a request: of a
+// begun stream, an endpoint that is not silent sends more. It is safe for concurrent use.
 type endpointActivity struct {
-	mu         sync.Mutex
-	receivedAt map[string]time.Time
+	mu        sync.Mutex
+	endpoints map[string]*streamReads
 }
 
-// record records that something was received from an endpoint.
-func (a *endpointActivity) record(endpoint string) {
+// streamReads are the reads from the begun streams of one endpoint.
+type streamReads struct {
+	// waiting is the number of reads that wait for data. None has returned since quietSince.
+	waiting    int
+	quietSince time.Time
+}
+
+// beginRead records that the gateway waits for more of a begun stream.
+func (a *endpointActivity) beginRead(endpoint string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.receivedAt == nil {
-		a.receivedAt = map[string]time.Time{}
+	reads := a.endpoints[endpoint]
+	if reads == nil {
+		if a.endpoints == nil {
+			a.endpoints = map[string]*streamReads{}
+		}
+		reads = &streamReads{quietSince: time.Now()}
+		a.endpoints[endpoint] = reads
 	}
-	a.receivedAt[endpoint] = time.Now()
+	reads.waiting++
 }
 
-// since reports whether anything was received from an endpoint after a time.
-func (a *endpointActivity) since(endpoint string, at time.Time) bool {
+// endRead records that a read returned.
+func (a *endpointActivity) endRead(endpoint string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.receivedAt[endpoint].After(at)
+	reads := a.endpoints[endpoint]
+	reads.waiting--
+	reads.quietSince = time.Now()
+	if reads.waiting == 0 {
+		delete(a.endpoints, endpoint)
+	}
 }
 
-// sweep forgets endpoints from which nothing was received for a long time.
-func (a *endpointActivity) sweep() {
+// silentSince reports whether an endpoint is silent and has been so since the given time.
+func (a *endpointActivity) silentSince(endpoint string, at time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	maps.DeleteFunc(a.receivedAt, func(_ string, at time.Time) bool { return time.Since(at) > activityRetention })
+	reads := a.endpoints[endpoint]
+	return reads != nil && !reads.quietSince.After(at) && time.Since(reads.quietSince) >= silenceTime
 }
--- a/internal/gateway/pendingattempt.go
+++ b/internal/gateway/pendingattempt.go
@@ -26,6 +26,8 @@
 	sentAt time.Time
 
 	state atomic.Int32
+	// arrived is true once the response header shows that the endpoint has read the request.
+	arrived atomic.Bool
 }
 
 // settle records that the endpoint has begun the request or that the attempt has ended. It
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -102,11 +102,12 @@
 }
 
 func (s *streamRelay) readUpstream(buffer []byte) (int, error) {
-	n, err := s.attempt.exchange.Read(buffer, s.request.deadline)
-	if n > 0 {
-		s.request.gateway.activity.record(s.attempt.grant.Endpoint.ID)
+	if !s.firstEventAt.IsZero() {
+		activity, endpoint := &s.request.gateway.activity, s.attempt.grant.Endpoint.ID
+		activity.beginRead(endpoint)
+		defer activity.endRead(endpoint)
 	}
-	return n, err
+	return s.attempt.exchange.Read(buffer, s.request.deadline)
 }
 
 // Read implements io.Reader.
--- a/internal/gateway/withdraw.go
+++ b/internal/gateway/withdraw.go
@@ -18,7 +18,7 @@
 	// learns of it.
 	maxWatchDelay = 500 * time.Millisecond
 	// arrivalTime is the time from sending a request until an endpoint that is not silent has
-	// read it. Whatever it sends later shows that the request has reached it.
+	// read it.
 	arrivalTime = 150 * time.Millisecond
 )
 
@@ -52,14 +52,14 @@
 )
 
 // endedPermission returns why the attempt must not begin any more, or an empty string if it may.
-// An endpoint that leaves runs what reached it in time.
+// An endpoint that leaves runs what reached it in time, so that it must be known to be silent.
 func (g *Gateway) endedPermission(pending *pendingAttempt) string {
 	bounds := g.bounds.Load()
 	replaced := g.replacedFor(pending.model, pending.grant.Decision.ServedVersion)
 	if replaced > 0 && replaced >= bounds.Rollout-withdrawMargin {
 		return versionReplaced
 	}
-	if g.activity.since(pending.grant.Endpoint.ID, pending.sentAt.Add(arrivalTime)) {
+	if pending.arrived.Load() || !g.activity.silentSince(pending.grant.Endpoint.ID, pending.sentAt.Add(arrivalTime)) {
 		return ""
 	}
 	endpoint, view := &pending.grant.Endpoint, g.observer.ClusterState()
@@ -76,5 +76,5 @@
 // expired reports whether a bound on what the object store confirmed is about to pass. since is
 // when the gateway learned of it, zero if there is nothing.
 func expired(since time.Time, bound time.Duration) bool {
-	return !since.IsZero() && time.Since(since) >= bound-maxWatchDelay-withdrawMargin
+	return !since.IsZero() && time.Since(since) >= max(bound/2, bound-maxWatchDelay-withdrawMargin)
 }
