dispatch: count the withdrawals of one moment once

What callers would see: an engine that was silent for a moment is not used for four seconds and counts as degraded, because several requests were withdrawn from it at once. Cause: each withdrawn request doubled the backoff of its endpoint. Change: an outcome of its own, Unresponsive, which is recorded once until the backoff ends. Conclusion: repeated silences still exclude an endpoint for longer.

--- a/internal/dispatch/grant.go
+++ b/internal/dispatch/grant.go
@@ -37,6 +37,9 @@
 	Misdirected
 	// Released means that the job no longer uses the endpoint.
 	Released
+	// Unresponsive means that the gateway withdrew the request because the endpoint had not
+	// begun it in time.
+	Unresponsive
 )
 
 // Decision describes the state on which an endpoint was selected.
@@ -115,6 +118,8 @@
 		l.state.health.recordSuccess(now)
 	case Failed:
 		l.state.health.recordFailure(now)
+	case Unresponsive:
+		l.state.health.recordUnresponsive(now)
 	case Errored:
 		l.state.health.recordError(now)
 	case Refused:
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -45,6 +45,14 @@
 	h.backoffUntil = now.Add(h.backoff)
 }
 
+// recordUnresponsive records that requests were withdrawn. Those of one moment say as much about the
+// endpoint as a single one.
+func (h *health) recordUnresponsive(now time.Time) {
+	if !h.inBackoff(now) {
+		h.recordFailure(now)
+	}
+}
+
 // recordError records a request to which the endpoint responded with an error of its own.
 func (h *health) recordError(now time.Time) { h.record(now, 1) }
 
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/mimosaward/mimosaward/internal/configuration"
@@ -153,6 +154,11 @@
 			return possiblyExecuted("canceled")
 		}
 		return lastRefusal
+	case errors.Is(failed.err, errWithdrawn) && !failed.sent:
+		return lastRefusal
+	case errors.Is(failed.err, errWithdrawn):
+		grant.Record(dispatch.Unresponsive)
+		return possiblyExecuted("withdrawn")
 	case failed.mayHaveRun:
 		grant.Record(dispatch.Failed)
 		r.suspectCrash(grant.Endpoint, phaseUnanswered, failed.err)
