gateway: check the permission of a request right before it is sent

What callers would see: a request begins on a replaced version if the connection to its engine took up to 0.7 s from the grant. Cause: the version is checked when the endpoint is granted; a call to another cell and the connection follow. Grant.Expired, meant for processes that were suspended, had no caller. Change: both are checked when the connection is there; nothing is sent, the endpoint is not blamed, and the request goes to another one. Conclusion: between the check and the first byte the process does not wait.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -52,14 +53,19 @@
 	}
 	pending := &pendingAttempt{conn: conn, grant: grant, model: r.clientRequest.Inference.Model, sentAt: time.Now()}
 	r.pending.Store(pending)
+	if ended := g.endedPermission(pending); ended != "" || grant.Expired(time.Now()) {
+		r.settle()
+		conn.Abort()
+		return nil, &failure{err: errors.Wrapf(errWithdrawn, "before it was sent: %s", cmp.Or(ended, "the grant is too old"))}
+	}
 	ranBefore := r.mayHaveRun
 	r.mayHaveRun = true
 	stopAbort := context.AfterFunc(r.ctx, conn.Abort)
 	exchange, err := g.pool.Send(conn, requestHeader, r.httpCtx.Request.Body(), r.deadline)
 	if err != nil {
 		stopAbort()
-		r.settle()
 		sent := !errors.Is(err, connpool.ErrNotSent)
+		r.settle()
 		r.mayHaveRun = ranBefore || sent
 		return nil, &failure{sent: sent, mayHaveRun: sent, err: err}
 	}
--- /dev/null
+++ b/internal/gateway/withdraw_test.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/mimosaward/mimosaward/internal/clusterstate"
+	"github.com/mimosaward/mimosaward/internal/concurrency"
+	"github.com/mimosaward/mimosaward/internal/connpool"
+	"github.com/mimosaward/mimosaward/internal/deployment"
+	"github.com/mimosaward/mimosaward/internal/dispatch"
+	"github.com/mimosaward/mimosaward/internal/storewatch"
+	"github.com/mimosaward/mimosaward/platform"
+)
+
+// gatewayWithEndpoint returns a gateway that connects to an endpoint by dial, and a request to it.
+func gatewayWithEndpoint(dial func() net.Conn, bodyBytes int) (*Gateway, *request) {
+	g := &Gateway{
+		pool:     &connpool.Pool{Dial: func(context.Context, string) (net.Conn, error) { return dial(), nil }},
+		observer: (&storewatch.Observer{}).Init(),
+	}
+	g.bounds.Store(&deployment.Bounds{Rollout: 8 * time.Second})
+	c := &fasthttp.RequestCtx{}
+	c.Request.Header.SetMethod(fasthttp.MethodPost)
+	c.Request.SetRequestURI("/draft/new")
+	c.Request.Header.SetHost("aso.example")
+	c.Request.SetBody(make([]byte, bodyBytes))
+	r := &request{gateway: g, httpCtx: c, deadline: time.Now().Add(time.Minute)}
+	r.clientRequest.ID, r.clientRequest.Inference.Model = "attempt-1", "draft"
+	r.ctx, r.cancel = context.WithCancelCause(context.Background())
+	return g, r
+}
+
+// startAttempt starts an attempt of a request at an endpoint that serves version 1, and returns a
+// channel with its failure.
+func startAttempt(r *request) <-chan *failure {
+	grant := dispatch.NewRemoteGrant(clusterstate.Endpoint{ID: "engine"}, 0, dispatch.Decision{ServedVersion: 1}, func(dispatch.Outcome) {})
+	failures := make(chan *failure, 1)
+	concurrency.NewGroup(context.Background()).Go(func(context.Context) {
+		_, failed := r.startAttempt(grant, platform.ForwardOptions{}, true)
+		failures <- failed
+	})
+	return failures
+}
+
+// Guards against a request that is sent although its permission ended while the gateway
+// connected to the endpoint.
+func TestNothingIsSentAfterThePermissionEnded(t *testing.T) {
+	for name, c := range map[string]struct {
+		replacedFor, dialTime time.Duration
+		replaced              bool
+	}{
+		"version replaced": {replacedFor: 7800 * time.Millisecond, dialTime: 250 * time.Millisecond, replaced: true},
+		"grant too old":    {dialTime: 1100 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				near, far := net.Pipe()
+				g, r := gatewayWithEndpoint(func() net.Conn {
+					time.Sleep(c.dialTime)
+					return near
+				}, 10)
+				if c.replaced {
+					g.observer.Rollouts().Merge("draft", 2, time.Now().Add(-c.replacedFor))
+				}
+				failures := startAttempt(r)
+				if n, err := far.Read(make([]byte, 4096)); n > 0 || !errors.Is(err, io.EOF) {
+					t.Errorf("the endpoint read %d bytes (%v), want none", n, err)
+				}
+				_ = far.Close()
+				if failed := <-failures; failed.sent || failed.mayHaveRun {
+					t.Errorf("sent %t, may have run %t, want neither", failed.sent, failed.mayHaveRun)
+				}
+			})
+		})
+	}
+}
