gateway: tell a withdrawal during sending from a broken connection

What operators would see: a suspected crash of an engine that only read nothing for a while. Cause: the error of a request that was withdrawn while it was still being written did not say so. Change: it is reported as withdrawn, so that no crash is suspected. Figures: TestWithdrawnWhileItIsSent failed before (read/write on closed pipe) and passes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -65,7 +65,9 @@
 	if err != nil {
 		stopAbort()
 		sent := !errors.Is(err, connpool.ErrNotSent)
-		r.settle()
+		if !r.settle() {
+			err = errors.Wrap(errWithdrawn, "while it was sent")
+		}
 		r.mayHaveRun = ranBefore || sent
 		return nil, &failure{sent: sent, mayHaveRun: sent, err: err}
 	}
--- a/internal/gateway/withdraw_test.go
+++ b/internal/gateway/withdraw_test.go
@@ -82,3 +82,24 @@
 		})
 	}
 }
+
+// Guards against a withdrawn request that counts as a sign of a crash: the endpoint read nothing,
+// so that the request was still being written.
+func TestWithdrawnWhileItIsSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		defer func() { _ = far.Close() }()
+		_, r := gatewayWithEndpoint(func() net.Conn { return near }, 64<<10)
+		failures := startAttempt(r)
+		if _, err := far.Read(make([]byte, 100)); err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		if !r.pending.Load().withdraw() {
+			t.Fatal("the attempt is not pending")
+		}
+		if failed := <-failures; !errors.Is(failed.err, errWithdrawn) || !failed.mayHaveRun {
+			t.Errorf("failed with %v (may have run %t), want %v", failed.err, failed.mayHaveRun, errWithdrawn)
+		}
+	})
+}
