storewatch: keep the age of a version independent of the time of day

What callers would see: a gateway whose time of day was set back sends requests to a replaced version for that much longer; if it was set ahead, the whole fleet stops to use the old version that much too early, because gateways share the greatest age. Cause: the record of when a version became known, read back from the object store with a precision of milliseconds, replaced the measured time by a time of day, again after each change. Change: a record is read once and turned into a monotonic time. Conclusion: a clock that is wrong when a gateway starts still matters until a peer's digest.

--- a/internal/storewatch/apply.go
+++ b/internal/storewatch/apply.go
@@ -100,16 +100,42 @@
 		return
 	}
 	for _, record := range history {
-		since := time.UnixMilli(record.KnownSinceUnixMilli)
-		if since.After(time.Now()) {
-			// The clock of the writer is ahead. The version became known no later than
-			// now.
-			since = time.Now()
+		if !o.firstReading(model, record) {
+			continue
 		}
-		o.rollouts.Merge(model, record.Version, since)
+		// From here on, the age does not follow steps of the time of day. If the clock of the
+		// writer is ahead, the version became known no later than now.
+		now := time.Now()
+		age := max(0, now.Round(0).Sub(time.UnixMilli(record.KnownSinceUnixMilli)))
+		o.rollouts.Merge(model, record.Version, now.Add(-age))
 	}
 }
 
+// recordOfModel is a record of when a version of a model became known.
+type recordOfModel struct {
+	model  string
+	record VersionRecord
+}
+
+// firstReading reports whether a record was not read before. Its time is converted once, because
+// the time of day may have been changed since.
+func (o *Observer) firstReading(model string, record VersionRecord) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	key := recordOfModel{model: model, record: record}
+	if o.recordsRead[key] {
+		return false
+	}
+	if o.recordsRead == nil || len(o.recordsRead) >= maxRecordsRead {
+		o.recordsRead = map[recordOfModel]bool{}
+	}
+	o.recordsRead[key] = true
+	return true
+}
+
+// maxRecordsRead limits the records that are remembered.
+const maxRecordsRead = 256
+
 // Rollouts returns the times at which model versions became known.
 func (o *Observer) Rollouts() *Rollouts { return &o.rollouts }
 
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -57,6 +57,8 @@
 	// reportedUnreadable maps each object that was logged as unreadable to its position
 	// at that time, so that it is logged once per change.
 	reportedUnreadable map[string]informer.Position
+	// recordsRead holds the records of versions whose times were converted.
+	recordsRead map[recordOfModel]bool
 }
 
 // Init initializes the observer and returns it.
