gateway: withdraw requests 300 ms before their bound, and count withdrawals

Cause: the bound counts from the confirmation, but a gateway may learn of a version some 100 ms later, and the check and the reset take time; a core that is stopped for a part of a tenth of a second leaves nothing of 150 ms. Withdrawals had no metric. Change: a margin of 300 ms; result withdrawn of mimosaward_gateway_attempts_total.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -41,6 +41,7 @@
 	attemptRefused     = "refused"
 	attemptMisdirected = "misdirected"
 	attemptFailed      = "failed"
+	attemptWithdrawn   = "withdrawn"
 )
 
 func newGatewayMetrics(registry prometheus.Registerer) *gatewayMetrics {
--- a/internal/gateway/pendingattempt.go
+++ b/internal/gateway/pendingattempt.go
@@ -10,9 +10,9 @@
 
 // States of a pendingAttempt.
 const (
-	attemptPending int32 = iota
-	attemptSettled
-	attemptWithdrawn
+	statePending int32 = iota
+	stateSettled
+	stateWithdrawn
 )
 
 // pendingAttempt is an attempt without a sign that the endpoint has begun to run it. A silent
@@ -33,13 +33,13 @@
 // settle records that the endpoint has begun the request or that the attempt has ended. It
 // returns false if the attempt was withdrawn before.
 func (p *pendingAttempt) settle() bool {
-	return p.state.CompareAndSwap(attemptPending, attemptSettled) || p.state.Load() == attemptSettled
+	return p.state.CompareAndSwap(statePending, stateSettled) || p.state.Load() == stateSettled
 }
 
 // withdraw resets the connection, so that the endpoint drops what it has not begun. It returns
 // false if the attempt is not pending any more; its connection may carry another request then.
 func (p *pendingAttempt) withdraw() bool {
-	if !p.state.CompareAndSwap(attemptPending, attemptWithdrawn) {
+	if !p.state.CompareAndSwap(statePending, stateWithdrawn) {
 		return false
 	}
 	p.conn.Abort()
@@ -47,4 +47,4 @@
 }
 
 // withdrawn reports whether the attempt was withdrawn.
-func (p *pendingAttempt) withdrawn() bool { return p.state.Load() == attemptWithdrawn }
+func (p *pendingAttempt) withdrawn() bool { return p.state.Load() == stateWithdrawn }
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -89,6 +89,8 @@
 	switch {
 	case f.misdirected:
 		return attemptMisdirected
+	case errors.Is(f.err, errWithdrawn):
+		return attemptWithdrawn
 	case f.mayHaveRun:
 		return attemptFailed
 	case f.sent:
--- a/internal/gateway/withdraw.go
+++ b/internal/gateway/withdraw.go
@@ -12,8 +12,9 @@
 	// withdrawInterval is how often the pending attempts are checked.
 	withdrawInterval = 25 * time.Millisecond
 	// withdrawMargin is how long before the end of its permission an attempt is withdrawn. It
-	// covers the time to the next check and until the endpoint notices the reset.
-	withdrawMargin = 150 * time.Millisecond
+	// covers the time by which the gateways learn of a change later than it is confirmed, the time
+	// to the next check, and until the endpoint notices the reset.
+	withdrawMargin = 300 * time.Millisecond
 	// maxWatchDelay is how much later than the object store confirms a change the gateway usually
 	// learns of it.
 	maxWatchDelay = 500 * time.Millisecond
