gateway: name gateways in regions of a host whose routes have none in common

What callers would see: clients without a gateway in their own region, of a host with routes of different home regions, are sent to gateways of any region, also to one in which none of the host's routes may run.

Cause: hostRegions returned nil both if no route restricts its regions and if the regions of the routes have none in common.

Change: in the second case, it returns the regions that any of the routes allows.

TestHostRegions before: "no common region: regions (-want +got): - {a, b}, + nil"; after: passes.

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -103,8 +103,8 @@
 }
 
 // addresses returns the gateways that a client should use: the ready ones in its own
-// region or, if there are none, in the regions that every route of the host allows or, if
-// there are none either, in any other region.
+// region or, if there are none, in the regions of the host's routes or, if there are none
+// either, in any other region.
 func (g *Gateway) addresses(query platform.DirectoryQuery) []string {
 	var sameRegion, hostRegion, other []string
 	regions := hostRegions(g.observer.Configuration(), query.Host)
@@ -152,22 +152,30 @@
 	return names
 }
 
-// hostRegions returns the regions that every route of a host allows. It returns nil if no
-// route restricts its regions, and also if no region is allowed by all routes.
+// hostRegions returns the regions that every route of a host allows or, if there is none, those
+// that any of its routes allows. It returns nil if no route restricts its regions.
 func hostRegions(config *configuration.Configuration, host string) []string {
 	if config == nil {
 		return nil
 	}
-	var regions []string
-	restricted := false
+	var all, common []string
 	for _, route := range config.HostRoutes(host) {
 		switch {
 		case len(route.Regions) == 0:
-		case !restricted:
-			regions, restricted = route.Regions, true
+			continue
+		case len(all) == 0:
+			common = route.Regions
 		default:
-			regions = intersect(regions, route.Regions)
+			common = intersect(common, route.Regions)
+		}
+		for _, region := range route.Regions {
+			if !slices.Contains(all, region) {
+				all = append(all, region)
+			}
 		}
 	}
-	return regions
+	if len(common) > 0 {
+		return common
+	}
+	return all
 }
