weights: end the wait for a chunk when its set is unpinned

What other instances would see: a request for a chunk of an abandoned set waits for its whole time and is then told to ask again, instead of "not wanted" at once.

Cause: Unpin removed the entry without waking those that wait for it.

TestUnpinEndsWaitForChunk before: "Get returned context deadline exceeded after 1m0s, want ErrNotPinned after 1s"; after: passes.

--- a/internal/weights/store.go
+++ b/internal/weights/store.go
@@ -38,13 +38,13 @@
 }
 
 // chunkEntry is a chunk of one or more pinned manifests. data is nil until the chunk was
-// verified; ready is closed then.
+// verified. settled is closed then, or once no pinned manifest contains the chunk.
 type chunkEntry struct {
 	pins int
 	// maxBytes is the maximum chunk size that the manifests allow.
 	maxBytes int
 	data     []byte
-	ready    chan struct{}
+	settled  chan struct{}
 }
 
 // NewStore returns an empty store with a capacity of limit bytes.
@@ -75,7 +75,7 @@
 	for _, chunk := range manifest.chunks {
 		entry := s.entries[chunk]
 		if entry == nil {
-			entry = &chunkEntry{ready: make(chan struct{})}
+			entry = &chunkEntry{settled: make(chan struct{})}
 			s.entries[chunk] = entry
 		}
 		entry.pins++
@@ -129,6 +129,9 @@
 		if entry.pins == 0 {
 			s.used -= bytesize.Bytes(len(entry.data))
 			delete(s.entries, chunk)
+			if entry.data == nil {
+				close(entry.settled)
+			}
 		}
 	}
 }
@@ -176,7 +179,7 @@
 		panic(fmt.Sprintf("chunk memory uses %d bytes, the limit is %d", s.used, s.limit))
 	}
 	entry.data = data
-	close(entry.ready)
+	close(entry.settled)
 	return nil
 }
 
@@ -196,7 +199,7 @@
 }
 
 // Get returns the chunk. If the chunk is not stored yet, Get waits for it until ctx
-// ends. It returns ErrNotPinned immediately if no pinned manifest contains the chunk.
+// ends. It returns ErrNotPinned as soon as no pinned manifest contains the chunk.
 // Callers must not modify the data.
 func (s *Store) Get(ctx context.Context, digest Digest) ([]byte, error) {
 	s.mu.Lock()
@@ -211,7 +214,10 @@
 	}
 	s.mu.Unlock()
 	select {
-	case <-entry.ready:
+	case <-entry.settled:
+		if entry.data == nil {
+			return nil, ErrNotPinned
+		}
 		return entry.data, nil
 	case <-ctx.Done():
 		return nil, ctx.Err()
