p2p: serve a best-effort request at a fan-out of 1

What other instances would see: with fanOut: 1, an instance turns away every request of one that is not its child, also while it sends nothing, so a lost parent has no replacement but the chunk's owner.

Cause: the limit of half the fan-out was rounded down to 0.

TestIdleInstanceServesBestEffortRequests before: "fan-out 1: 0 best-effort requests were served at once, want 1"; after: passes for fan-outs of 1 to 8.

--- a/internal/p2p/fetcher.go
+++ b/internal/p2p/fetcher.go
@@ -28,7 +28,7 @@
 	lagFactor = 2
 	lagChunks = 2
 	// bestEffortDivisor sets the limit for best-effort requests: they are rejected while
-	// FanOut/bestEffortDivisor or more uploads are active.
+	// FanOut/bestEffortDivisor or more uploads are active, and at least one.
 	bestEffortDivisor = 2
 	// delegatedWorkers is the number of workers that fetch chunks on behalf of other
 	// instances, as a replacement for a lost root or as the chunks' owner.
@@ -128,7 +128,7 @@
 // must call Release of the response.
 func (f *Fetcher) Serve(ctx context.Context, request Request) (Response, error) {
 	start := time.Now()
-	if request.BestEffort && f.activeUploads.Load() >= int64(f.FanOut/bestEffortDivisor) {
+	if request.BestEffort && f.activeUploads.Load() >= int64(max(1, f.FanOut/bestEffortDivisor)) {
 		return Response{}, ErrBusy
 	}
 	if current := f.download.Load(); current != nil {
