transport: reject malformed requests for chunks

What other instances would see: a malformed offset, length or wait counts as 0, so that a request for a slice is answered with the whole chunk.

Cause: errors of the numbers were dropped.

TestMalformedChunkRequestIsRejected before: all 8 malformed requests got status 200 ("?offset=1x: status 200, asked 1 times for the chunk; want status 400"); after: passes.

--- a/internal/transport/chunks.go
+++ b/internal/transport/chunks.go
@@ -14,7 +14,6 @@
 	"github.com/mimosaward/mimosaward/internal/membership"
 	"github.com/mimosaward/mimosaward/internal/p2p"
 	"github.com/mimosaward/mimosaward/internal/upstream"
-	"github.com/mimosaward/mimosaward/internal/weights"
 )
 
 const (
@@ -30,18 +29,10 @@
 // capacity, 410 that it does not take part in the rollout, and 404 that it does not want
 // the weight set.
 func (t *Transport) handleChunk(c fiber.Ctx) error {
-	digest, err := weights.ParseDigest(c.Params("digest"))
+	request, err := parseChunkRequest(c)
 	if err != nil {
 		return c.Status(fiber.StatusBadRequest).SendString(err.Error())
 	}
-	request := p2p.Request{Chunk: digest}
-	request.Offset, _ = strconv.Atoi(c.Query("offset"))
-	request.Length, _ = strconv.Atoi(c.Query("length"))
-	maxWait, _ := time.ParseDuration(c.Query("hold"))
-	request.MaxWait = min(maxWait, maxRequestWait)
-	request.FetchAsRoot = c.Query("takeOver") == "true"
-	request.FetchAsOwner = c.Query("rescue") == "true"
-	request.BestEffort = c.Query("spare") == "true"
 	response, err := t.Serve(c.Context(), request)
 	switch {
 	case errors.Is(err, p2p.ErrNotReady):
