p2p: bound the bytes in flight of more than 8 instances on a link

What callers would see: a rollout to a region with a fan-out of more than 8 queues up to twice the intended bytes on the link between regions, in front of live requests.

Cause: each instance has at least one slice in flight, however many there are.

Change: more than 8 instances have smaller slices.

TestBytesInFlightBetweenRegionsAreBounded before: "up to 96 bytes" for 12 instances, "up to 128 bytes were in flight between the regions, want 1 to 64" for 16; after: passes for 2, 8, 12, 16.

--- a/internal/p2p/slices.go
+++ b/internal/p2p/slices.go
@@ -38,8 +38,8 @@
 	return f.links.chunkLimiters[region]
 }
 
-// maxSlicesInFlight is the number of slices that a region has in flight on one link. It
-// is divided among the instances of the region that use the link, at least one each.
+// maxSlicesInFlight is the number of slices of sliceBytes that a region has in flight on one
+// link. It is divided among the instances of the region that use the link.
 const maxSlicesInFlight = 8
 
 // linkController returns the rate controller of the link from another region. sharers is
@@ -58,19 +58,22 @@
 	return controller
 }
 
-// sliceBytes returns the slice size, scaled by SizeScale.
-func (f *Fetcher) sliceBytes() int {
-	if f.SizeScale == 0 {
-		return sliceBytes
+// sliceBytes returns the slice size, scaled by SizeScale. More than maxSlicesInFlight sharers
+// have smaller slices, so that the region has no more bytes in flight.
+func (f *Fetcher) sliceBytes(sharers int) int {
+	bytes := sliceBytes * maxSlicesInFlight / max(maxSlicesInFlight, sharers)
+	if f.SizeScale != 0 {
+		bytes = int(float64(bytes) * f.SizeScale)
 	}
-	return max(1, int(sliceBytes*f.SizeScale))
+	return max(1, bytes)
 }
 
 // fetchSlices fetches a chunk from another region in rate-limited slices, so that live
 // traffic is never queued behind a whole chunk.
 func (d *download) fetchSlices(ctx context.Context, source topology.Source, request Request) ([]byte, error) {
-	controller := d.fetcher.linkController(source.Peer.Region, d.layout.Stripes())
-	request.Length = d.fetcher.sliceBytes()
+	sharers := d.layout.Stripes()
+	controller := d.fetcher.linkController(source.Peer.Region, sharers)
+	request.Length = d.fetcher.sliceBytes(sharers)
 	if err := d.awaitRemoteChunk(ctx, source, request); err != nil {
 		return nil, err
 	}
