p2p: follow the number of instances that share a link

What callers would see: after a first set that few instances fetched, each instance of a grown region still has up to 8 slices in flight, and live requests queue behind them.

Cause: the number of slices in flight was set when a link was first used.

TestSlicesInFlightFollowNumberOfInstances before: "- 2, 1, 4, + 8, 8, 8"; after: passes.

--- a/internal/p2p/slices.go
+++ b/internal/p2p/slices.go
@@ -16,7 +16,7 @@
 // regions, by region.
 type linkTable struct {
 	mu          sync.Mutex
-	controllers map[string]*bandwidth.Controller
+	controllers map[string]linkController
 	// chunkLimiters limit the number of whole chunks in flight from a region.
 	chunkLimiters map[string]*concurrency.Semaphore
 }
@@ -42,20 +42,29 @@
 // link. It is divided among the instances of the region that use the link.
 const maxSlicesInFlight = 8
 
+// linkController is the rate controller of a link and the number of instances among which it
+// divides the slices in flight.
+type linkController struct {
+	*bandwidth.Controller
+	sharers int
+}
+
 // linkController returns the rate controller of the link from another region. sharers is
 // the number of instances that use the link at the same time.
 func (f *Fetcher) linkController(region string, sharers int) *bandwidth.Controller {
 	f.links.mu.Lock()
 	defer f.links.mu.Unlock()
 	if f.links.controllers == nil {
-		f.links.controllers = map[string]*bandwidth.Controller{}
+		f.links.controllers = map[string]linkController{}
 	}
-	controller := f.links.controllers[region]
-	if controller == nil {
-		controller = &bandwidth.Controller{Target: f.ThinLinkDelay, RateScale: f.SizeScale, InFlight: concurrency.Semaphore{Limit: maxSlicesInFlight / sharers}}
-		f.links.controllers[region] = controller
+	existing := f.links.controllers[region]
+	if existing.Controller == nil || existing.sharers != sharers {
+		existing = linkController{sharers: sharers, Controller: &bandwidth.Controller{
+			Target: f.ThinLinkDelay, RateScale: f.SizeScale, InFlight: concurrency.Semaphore{Limit: max(1, maxSlicesInFlight/sharers)},
+		}}
+		f.links.controllers[region] = existing
 	}
-	return controller
+	return existing.Controller
 }
 
 // sliceBytes returns the slice size, scaled by SizeScale. More than maxSlicesInFlight sharers
