loader, agent: log failures other than of the manifest as such

What operators saw: "manifest unavailable, will retry: check that the manifest was published" for a weight set that does not fit into the memory, with the manifest at hand.

Cause: each failure of a fetch was logged as ManifestFailed.

Change: event 3016, FetchFailed. The loader logs it for all that fails once it has the manifest, the agent too; the agent's part has no test of its own.

TestFailedFetchNamesNoManifest before: "record of a set that does not fit into the memory, want one with event=3016: [...] manifest unavailable, will retry [...] event=3008"; after: passes 20 times.

--- a/internal/agent/rollout.go
+++ b/internal/agent/rollout.go
@@ -114,20 +114,31 @@
 		if errors.Is(err, weights.ErrTooLarge) {
 			a.Log.Emit(event.ChunkMemoryTooSmall, event.Fields{"error": err.Error()})
 		} else if ctx.Err() == nil && attempt > 0 {
-			a.Log.Emit(event.ManifestFailed, event.Fields{"set": target.set.String(), "error": err.Error()})
+			a.Log.Emit(failureEvent(err), event.Fields{"set": target.set.String(), "error": err.Error()})
 		}
 		concurrency.Sleep(ctx, rolloutRetryInterval)
 	}
 	return nil, false
 }
 
+// errNoManifest marks errors of fetching a manifest.
+var errNoManifest = errors.New("manifest unavailable")
+
+// failureEvent returns the event that describes a failure of tryFetchVerifiedSet.
+func failureEvent(err error) event.Event {
+	if errors.Is(err, errNoManifest) {
+		return event.ManifestFailed
+	}
+	return event.FetchFailed
+}
+
 func (a *Agent) tryFetchVerifiedSet(ctx context.Context, target rolloutTarget, attempt int) (*weights.VerifiedSet, error) {
 	members := a.base.Membership.View().Pool(target.pool.Name)
 	manifest, pinned := a.store.Pinned(target.set)
 	if !pinned {
 		var err error
 		if manifest, err = a.fetchManifest(ctx, target.set, members, attempt); err != nil {
-			return nil, err
+			return nil, errors.Mark(err, errNoManifest)
 		}
 		if err := a.pin(manifest); err != nil {
 			return nil, err
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -89,6 +89,7 @@
 	EngineReachable     = Event{3013, logrus.InfoLevel, "engine responds to its loader again", noAction}
 	GatewaysUnreachable = Event{3014, logrus.WarnLevel, "no requests from gateways, the loader reads the object store itself", "If this repeats, check that gateways are running and can reach the loader."}
 	GatewaysReachable   = Event{3015, logrus.InfoLevel, "requests from a gateway received again", noAction}
+	FetchFailed         = Event{3016, logrus.WarnLevel, "weight set could not be fetched, will retry", "Check the error in the record; the manifest was received."}
 	RolloutAbandoned    = Event{3011, logrus.InfoLevel, "weight set replaced before it was complete", noAction}
 )
 
@@ -127,7 +128,7 @@
 		ConfigurationApplied, ObjectUnreadable, ZoneEvacuated, ZoneReturned, RolloutRequested, StoreRestored,
 		GatewayAlive, GatewayUnresponsive, SnapshotAdopted, SnapshotFailed,
 		RolloutStarted, SetComplete, ChunkCorrupt, PeerExcluded, LoadOrdered, LoadFailed, LoadCompleted, ManifestFailed,
-		ChunkMemoryTooSmall, SwapWaiting, RolloutAbandoned, EngineUnreachable, EngineReachable, GatewaysUnreachable, GatewaysReachable,
+		ChunkMemoryTooSmall, SwapWaiting, RolloutAbandoned, EngineUnreachable, EngineReachable, GatewaysUnreachable, GatewaysReachable, FetchFailed,
 		EndpointCold, ResponseMismatched, StreamResumed, StreamAborted, OutcomeUnknown, LoaderUnreachable, LoaderReachable, RequestSent, RequestEnded, RequestRefused, AttemptFailed, EndpointLent, EndpointNotLent, LenderUnreachable,
 		CrashSuspected, CrashConfirmed, PartRejected, PartAdmitted, PartTried, RequestPanicked, EndpointAnnounced, TurnedAway, RequestCut,
 	}
--- a/internal/loader/fetch.go
+++ b/internal/loader/fetch.go
@@ -41,7 +41,7 @@
 			waitForChange(ctx, changed, concurrency.UntilTick(fetchCheckInterval))
 		default:
 			if err := l.fetchWeightSet(ctx, wanted); err != nil && ctx.Err() == nil {
-				l.Log.Emit(event.ManifestFailed, event.Fields{"model": wanted.model, "version": wanted.version, "error": err.Error()})
+				l.Log.Emit(event.FetchFailed, event.Fields{"model": wanted.model, "version": wanted.version, "error": err.Error()})
 				concurrency.Sleep(ctx, fetchRetryDelay)
 			}
 		}
