transport: end a fetch when its context ends

What callers would see: an instance that abandons a superseded set waits for silent instances until they have timed out, 1.5 s each, before it fetches the set that replaces it.

Cause: FetchPeer and FetchManifest looked at their context only between the parts of a body.

Change: upstream.Client.DoContext returns when its context ends. The abandoned request goes on until its timeouts, as the HTTP client has no way to cancel it.

--- a/internal/transport/chunks.go
+++ b/internal/transport/chunks.go
@@ -115,7 +115,7 @@
 	linkDelay := time.Since(start)
 	address := fmt.Sprintf("http://%s/chunks/%s?offset=%d&length=%d&hold=%s&takeOver=%t&rescue=%t&spare=%t",
 		peer.WorkAddress, request.Chunk, request.Offset, request.Length, request.MaxWait, request.FetchAsRoot, request.FetchAsOwner, request.BestEffort)
-	response, err := t.client.Do(upstream.Request{Method: fiber.MethodGet, URL: address})
+	response, err := t.client.DoContext(ctx, upstream.Request{Method: fiber.MethodGet, URL: address})
 	if err != nil {
 		return p2p.Response{}, errors.Mark(err, p2p.ErrUnreachable)
 	}
--- a/internal/transport/manifest.go
+++ b/internal/transport/manifest.go
@@ -91,10 +91,7 @@
 
 // FetchManifest fetches an encoded manifest from another instance.
 func (t *Transport) FetchManifest(ctx context.Context, key string, peer membership.Instance) ([]byte, error) {
-	if err := ctx.Err(); err != nil {
-		return nil, err
-	}
-	response, err := t.client.Do(upstream.Request{Method: fiber.MethodGet, URL: "http://" + peer.WorkAddress + manifestPath + url.PathEscape(key)})
+	response, err := t.client.DoContext(ctx, upstream.Request{Method: fiber.MethodGet, URL: "http://" + peer.WorkAddress + manifestPath + url.PathEscape(key)})
 	if err != nil {
 		return nil, err
 	}
