ticketstore: say that a ticket was not filed after lost numbers

What operators saw: "outcome unknown: no response from the object API" after other operators took the next number in all six attempts, although the ticket was certainly not filed.

Cause: a conflict in the last attempt was reported like an outage.

Change: ContentionError if every attempt lost its number; a conflict is definite, because a write is not repeated within an attempt and each attempt looks for the operation ID first.

--- a/internal/ticketstore/errors.go
+++ b/internal/ticketstore/errors.go
@@ -43,6 +43,16 @@
 	return fmt.Sprintf("operator %q concurrently changed %s with ticket %d; your ticket was not filed; review the change with \"ticket show %d\" and file again", e.Operator, e.Scope, e.Number, e.Number)
 }
 
+// ContentionError reports that other operators took the next number in each attempt.
+type ContentionError struct {
+	Attempts int
+}
+
+// Error implements error.
+func (e *ContentionError) Error() string {
+	return fmt.Sprintf("other operators filed tickets first in all %d attempts; your ticket was not filed; file it again", e.Attempts)
+}
+
 // UnknownOutcomeError reports that the store did not respond, so the ticket may
 // have been filed. Filing it again with the same operation ID is safe.
 type UnknownOutcomeError struct {
--- a/internal/ticketstore/store.go
+++ b/internal/ticketstore/store.go
@@ -106,22 +106,29 @@
 
 // File stores the ticket under its number, or under the next free number if it has
 // none, and returns the stored record. The errors are NumberTakenError,
-// NumberGapError, ConflictError and UnknownOutcomeError. The first three mean that
-// the ticket was not filed.
+// NumberGapError, ConflictError, ContentionError and UnknownOutcomeError. All but the last
+// mean that the ticket was not filed.
 func (s *Store) File(ctx context.Context, t ticket.Ticket, operationID string) (Record, error) {
 	record := Record{OperationID: operationID, FiledAt: time.Now().UTC(), Ticket: t}
 	attempt := &attempt{requestedNumber: t.Number, record: record, baseNumber: noBase}
 	var lastErr error
+	conflicts := 0
 	for range maxFileAttempts {
 		filed, err := s.tryFile(ctx, attempt)
 		if !errors.Is(err, platformclient.ErrUnavailable) && !errors.Is(err, platformclient.ErrConflict) {
 			return filed, err
 		}
 		lastErr = err
+		if errors.Is(err, platformclient.ErrConflict) {
+			conflicts++
+		}
 		if !concurrency.Sleep(ctx, retryInterval) {
 			break
 		}
 	}
+	if conflicts == maxFileAttempts {
+		return Record{}, &ContentionError{Attempts: conflicts}
+	}
 	return Record{}, &UnknownOutcomeError{OperationID: operationID, Cause: lastErr}
 }
 
