ticketstore: read the acknowledgements of all pages

What operators would see: with more zones than the object API lists in a page, or old acknowledgements of removed ones, a ticket that is in force is reported as not acknowledged.

Cause: Acks read the first page.

TestAcksOfAllPages before: "1000 of 1200 acknowledgements were read"; after: passes.

--- a/internal/ticketstore/ack.go
+++ b/internal/ticketstore/ack.go
@@ -33,7 +33,7 @@
 
 // Acks returns the acknowledgements of all zones.
 func (s *Store) Acks(ctx context.Context) ([]Ack, error) {
-	page, err := s.Objects.List(ctx, AckPrefix, "")
+	page, err := s.Objects.ListAll(ctx, AckPrefix, "")
 	if err != nil {
 		return nil, err
 	}
