ticketstore: recognize an operation that is repeated late

What operators would see: who repeats an operation of unknown outcome with its ID, as the error advises, files its ticket a second time if a checkpoint has been written in the meantime, and so reverts later changes of the same scope.

Cause: the ID was looked for in the tickets from 64 before the checkpoint on.

Change: the first try reads all tickets, each further one those that were filed since. Filing reads as many pages as there are thousands of tickets; nothing else reads more.

TestLateRepeatFilesNothing before: "repeated operation of ticket 1: ticket 151", 153 tickets instead of 150; after: passes.

--- a/internal/ticketstore/store.go
+++ b/internal/ticketstore/store.go
@@ -153,14 +153,13 @@
 	if err != nil {
 		return Record{}, err
 	}
-	// An earlier write of this attempt whose response was lost may precede the
-	// checkpoint.
-	after := max(0, stored.UpTo-checkpointInterval)
-	page, err := s.Objects.ListAll(ctx, TicketPrefix, TicketKey(after))
+	// An operator may repeat an operation long after its ticket was filed, so the first try
+	// reads all tickets. Later ones read those that were filed since.
+	page, err := s.Objects.ListAll(ctx, TicketPrefix, TicketKey(max(0, a.baseNumber)))
 	if err != nil {
 		return Record{}, err
 	}
-	newest := stored.UpTo
+	newest := max(stored.UpTo, a.baseNumber)
 	for _, object := range page.Objects {
 		earlier, err := decodeRecord(object)
 		if err != nil {
