bandwidth: free the time of slices that are given up

What callers would see: when a set is superseded, the fetch of the one that replaces it waits until its links would have sent the slices of the old one.

Cause: a slice that was given up while it waited kept the time that it had reserved, on the link and in the controller of a link between regions.

TestCanceledSliceFreesItsTime and TestCanceledSendFreesItsTime before: "a slice waited 8.847368413s" and "2.733333331s after all others were given up, want at most 500ms"; after: pass.

--- a/internal/bandwidth/controller.go
+++ b/internal/bandwidth/controller.go
@@ -85,8 +85,10 @@
 		return err
 	}
 	defer c.InFlight.Release()
-	concurrency.Sleep(ctx, c.reserve(bytes))
+	pause, reserved := c.reserve(bytes)
+	concurrency.Sleep(ctx, pause)
 	if err := ctx.Err(); err != nil {
+		c.cancel(reserved)
 		return err
 	}
 	roundTrip, err := transfer()
@@ -99,9 +101,9 @@
 	return err
 }
 
-// reserve reserves the time to send a slice at the current rate and returns how
-// long to wait until that time begins.
-func (c *Controller) reserve(bytes int) time.Duration {
+// reserve reserves the time to send a slice at the current rate. It returns how
+// long to wait until that time begins, and its length.
+func (c *Controller) reserve(bytes int) (pause, reserved time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.initialize()
@@ -109,9 +111,17 @@
 	if c.nextSend.Before(now) {
 		c.nextSend = now
 	}
-	pause := c.nextSend.Sub(now)
-	c.nextSend = c.nextSend.Add(time.Duration(float64(bytes) / c.rate * float64(time.Second)))
-	return pause
+	pause = c.nextSend.Sub(now)
+	reserved = time.Duration(float64(bytes) / c.rate * float64(time.Second))
+	c.nextSend = c.nextSend.Add(reserved)
+	return pause, reserved
+}
+
+// cancel frees the time that a slice reserved.
+func (c *Controller) cancel(reserved time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nextSend = c.nextSend.Add(-reserved)
 }
 
 // adjustRate adjusts the rate to the round-trip time of one slice.
--- a/internal/bandwidth/link.go
+++ b/internal/bandwidth/link.go
@@ -58,7 +58,7 @@
 }
 
 // WaitSlice waits until a slice may be sent over the link. It returns an error if
-// ctx ends first.
+// ctx ends first, and then reserves nothing.
 func (l *Link) WaitSlice(ctx context.Context, bytes int) error {
 	if l.Rate == 0 {
 		return ctx.Err()
@@ -70,7 +70,19 @@
 	l.busyUntil = l.reserveAfter(l.busyUntil, now, bytes)
 	l.mu.Unlock()
 	concurrency.Sleep(ctx, pause)
-	return ctx.Err()
+	if err := ctx.Err(); err != nil {
+		l.cancelSlice(bytes)
+		return err
+	}
+	return nil
+}
+
+// cancelSlice frees the time that a slice reserved.
+func (l *Link) cancelSlice(bytes int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.priorityBusyUntil = l.priorityBusyUntil.Add(-l.sendTime(bytes))
+	l.busyUntil = l.busyUntil.Add(-l.sendTime(bytes))
 }
 
 // WaitChunk waits until a block of a chunk may be sent over the link. It returns
@@ -117,5 +129,10 @@
 	if busyUntil.Before(now) {
 		busyUntil = now
 	}
-	return busyUntil.Add(time.Duration(float64(bytes) / (l.Rate * usableShare) * float64(time.Second)))
+	return busyUntil.Add(l.sendTime(bytes))
+}
+
+// sendTime returns the time that the link needs for the given bytes.
+func (l *Link) sendTime(bytes int) time.Duration {
+	return time.Duration(float64(bytes) / (l.Rate * usableShare) * float64(time.Second))
 }
