routing: let no pause of an endpoint shorten a longer one

What callers would see: requests to an endpoint that asked for a longer pause, because another request to it failed, or was refused with a shorter one, later.

Cause: the last pause replaced the one before.

TestShorterPauseShortensNoLongerOne before: "the endpoint is paused for 2s, want 5s"; after: passes.

--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -241,11 +241,14 @@
 }
 
 // Pause excludes the endpoint for the given duration, which its agent requested
-// with a refusal.
+// with a refusal. It shortens no earlier pause.
 func (r *Router) Pause(name string, pause time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.stateOf(name).pausedUntil = time.Now().Add(pause)
+	state := r.stateOf(name)
+	if until := time.Now().Add(pause); until.After(state.pausedUntil) {
+		state.pausedUntil = until
+	}
 }
 
 // PauseAfterFailure excludes an endpoint that did not respond.
