admission: a response from before a reset ends no cold phase

What callers would see: an engine that lost its weights and loads them again receives its full limit at once, if a request from before that is answered in time.

Cause: requests that were admitted in the cold phase before the reset counted as admitted in the one after it.

TestResponseFromBeforeResetEndsNoColdPhase before: "a response to a request from before the reset ended the cold phase"; after: passes. The randomized test of the gate passes.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -54,6 +54,8 @@
 	// warmedUp is set when a cold phase ends and cleared when the endpoint is
 	// ordered to load weights.
 	warmedUp bool
+	// resets is the number of calls of ResetToCold.
+	resets   int
 	inFlight int
 	// awaitingFirstByte is the set of requests whose response has not started.
 	awaitingFirstByte map[*Slot]struct{}
@@ -90,7 +92,9 @@
 	gate       *Gate
 	workspace  string
 	admittedAt time.Time
-	once       sync.Once
+	// resets is the number of resets of the gate when the request was admitted.
+	resets int
+	once   sync.Once
 }
 
 // Admit admits the request and returns its slot, or returns a refusal. The
@@ -102,7 +106,7 @@
 	if refusal := g.checkLimits(request); refusal != nil {
 		return nil, refusal
 	}
-	slot := &Slot{gate: g, workspace: request.Workspace, admittedAt: time.Now()}
+	slot := &Slot{gate: g, workspace: request.Workspace, admittedAt: time.Now(), resets: g.resets}
 	g.addSlot(slot)
 	g.assertBounds()
 	return slot, nil
@@ -194,6 +198,7 @@
 	defer g.mu.Unlock()
 	g.warmedUp = false
 	g.cold = false
+	g.resets++
 }
 
 // ReportCold records that the endpoint reported a cold start.
@@ -223,7 +228,7 @@
 
 // RecordFirstByte records that the response to the request started. If that took
 // at most ColdLatency and the request was admitted in a cold phase, the phase
-// ends. If it took longer, a cold phase starts.
+// ends unless it began with a reset after that. If it took longer, a cold phase starts.
 func (s *Slot) RecordFirstByte() {
 	g := s.gate
 	g.mu.Lock()
@@ -236,7 +241,7 @@
 		g.markCold()
 	}
 	delete(g.awaitingFirstByte, s)
-	if _, wasCold := g.admittedCold[s]; withinColdLatency && wasCold {
+	if _, wasCold := g.admittedCold[s]; withinColdLatency && wasCold && s.resets == g.resets {
 		g.markWarm()
 	}
 }
