idempotency: drop the keys of deleted segments from memory

What operators would see: the memory of an entry that owns partitions grows with all keys that it has ever sealed, 16 bytes each, until another process writes to the partition.

Cause: the index lost the keys of deleted segments only when the head was read again.

--- a/internal/idempotency/batch.go
+++ b/internal/idempotency/batch.go
@@ -5,10 +5,6 @@
 	"maps"
 	"slices"
 	"time"
-
-	"github.com/cockroachdb/errors"
-
-	"github.com/mimosaward/mimosaward/internal/platformclient"
 )
 
 // batch applies claims and updates to a copy of a partition's head. None of them
@@ -44,8 +40,7 @@
 // deleteExpired deletes the objects of segments that are past their retention.
 func (b *batch) deleteExpired(ctx context.Context) error {
 	for len(b.head.Segments) > 0 && b.head.Segments[0].deletable(b.now) {
-		err := b.segments.deleteObject(ctx, b.head.Segments[0].ID)
-		if err != nil && !errors.Is(err, platformclient.ErrNotFound) {
+		if err := b.segments.delete(ctx, b.head.Segments[0].ID); err != nil {
 			return err
 		}
 		b.head.Segments = b.head.Segments[1:]
--- a/internal/idempotency/segments.go
+++ b/internal/idempotency/segments.go
@@ -117,8 +117,17 @@
 	return nil
 }
 
-func (s *segmentIndex) deleteObject(ctx context.Context, id int64) error {
-	return s.objects.Delete(ctx, segmentKey(s.partition, id), segmentObjectVersion)
+// delete deletes a segment and its keys. It is not an error if the segment does not exist.
+func (s *segmentIndex) delete(ctx context.Context, id int64) error {
+	err := s.objects.Delete(ctx, segmentKey(s.partition, id), segmentObjectVersion)
+	if err != nil && !errors.Is(err, platformclient.ErrNotFound) {
+		return err
+	}
+	delete(s.keys, id)
+	if s.cachedID == id {
+		s.cached, s.cachedID = segmentObject{}, 0
+	}
+	return nil
 }
 
 func sortedKeys(entries map[keyHash]Entry) []keyHash {
