streamcheck: count a token once its event is complete

What callers would see: a stream that breaks off at an engine between the last data line of an event and its end, and is resumed at another, lacks one token.

Cause: the token was counted with its data line. The incomplete event is not passed on, and the next engine went on after it.

TestTokenCountsOnceItsEventIsComplete, which breaks the stream off after each byte, before: "after 100 bytes: 1 tokens counted, 0 passed on", the same after 101, 217 and 218; after: passes, with the stream resumed after each of them.

--- a/internal/streamcheck/checker.go
+++ b/internal/streamcheck/checker.go
@@ -39,9 +39,11 @@
 	// Set is the digest of the weight set that every event must name.
 	Set string
 
-	tokens   int
-	finished bool
-	ended    bool
+	tokens int
+	// pendingTokens are the tokens of the event whose end has not been received.
+	pendingTokens int
+	finished      bool
+	ended         bool
 }
 
 // completionChunk holds the fields of a chat completion chunk that are checked.
@@ -56,8 +58,8 @@
 	} `json:"choices"`
 }
 
-// Tokens returns the number of events with text so far. Each such event counts
-// as one token.
+// Tokens returns the number of events with text that Next returned. Each such event
+// counts as one token.
 func (c *Checker) Tokens() int { return c.tokens }
 
 // Ended reports whether the end marker was received after the finish reason.
@@ -109,7 +111,7 @@
 		return ErrWrongSet
 	}
 	if chunk.Choices[0].Delta.Content != "" {
-		c.tokens++
+		c.pendingTokens++
 	}
 	c.finished = c.finished || chunk.Choices[0].FinishReason != nil
 	return nil
--- a/internal/streamcheck/event.go
+++ b/internal/streamcheck/event.go
@@ -13,6 +13,7 @@
 // [ErrIncomplete].
 func (c *Checker) Next(readLine func() ([]byte, error)) ([]byte, error) {
 	var lines []byte
+	c.pendingTokens = 0
 	for {
 		line, err := readLine()
 		if checkErr := c.CheckLine(line); checkErr != nil {
@@ -25,6 +26,7 @@
 		case err != nil:
 			return nil, err
 		case len(bytes.TrimSpace(line)) == 0 && len(lines) > len(line):
+			c.tokens += c.pendingTokens
 			return lines, nil
 		}
 	}
