--- a/internal/p2p/slices.go
+++ b/internal/p2p/slices.go
@@ -16,7 +16,7 @@
 // regions, by region.
 type linkTable struct {
 	mu          sync.Mutex
-	controllers map[string]*bandwidth.Controller
+	controllers map[string]linkController
 	// chunkLimiters limit the number of whole chunks in flight from a region.
 	chunkLimiters map[string]*concurrency.Semaphore
 }
@@ -38,39 +38,51 @@
 	return f.links.chunkLimiters[region]
 }
 
-// maxSlicesInFlight is the number of slices that a region has in flight on one link. It
-// is divided among the instances of the region that use the link, at least one each.
+// maxSlicesInFlight is the number of slices of sliceBytes that a region has in flight on one
+// link. It is divided among the instances of the region that use the link.
 const maxSlicesInFlight = 8
 
+// linkController is the rate controller of a link and the number of instances among which it
+// divides the slices in flight.
+type linkController struct {
+	*bandwidth.Controller
+	sharers int
+}
+
 // linkController returns the rate controller of the link from another region. sharers is
 // the number of instances that use the link at the same time.
 func (f *Fetcher) linkController(region string, sharers int) *bandwidth.Controller {
 	f.links.mu.Lock()
 	defer f.links.mu.Unlock()
 	if f.links.controllers == nil {
-		f.links.controllers = map[string]*bandwidth.Controller{}
+		f.links.controllers = map[string]linkController{}
 	}
-	controller := f.links.controllers[region]
-	if controller == nil {
-		controller = &bandwidth.Controller{Target: f.ThinLinkDelay, RateScale: f.SizeScale, InFlight: concurrency.Semaphore{Limit: maxSlicesInFlight / sharers}}
-		f.links.controllers[region] = controller
+	existing := f.links.controllers[region]
+	if existing.Controller == nil || existing.sharers != sharers {
+		existing = linkController{sharers: sharers, Controller: &bandwidth.Controller{
+			Target: f.ThinLinkDelay, RateScale: f.SizeScale, InFlight: concurrency.Semaphore{Limit: max(1, maxSlicesInFlight/sharers)},
+		}}
+		f.links.controllers[region] = existing
 	}
-	return controller
+	return existing.Controller
 }
 
-// sliceBytes returns the slice size, scaled by SizeScale.
-func (f *Fetcher) sliceBytes() int {
-	if f.SizeScale == 0 {
-		return sliceBytes
+// sliceBytes returns the slice size, scaled by SizeScale. More than maxSlicesInFlight sharers
+// have smaller slices, so that the region has no more bytes in flight.
+func (f *Fetcher) sliceBytes(sharers int) int {
+	bytes := sliceBytes * maxSlicesInFlight / max(maxSlicesInFlight, sharers)
+	if f.SizeScale != 0 {
+		bytes = int(float64(bytes) * f.SizeScale)
 	}
-	return max(1, int(sliceBytes*f.SizeScale))
+	return max(1, bytes)
 }
 
 // fetchSlices fetches a chunk from another region in rate-limited slices, so that live
 // traffic is never queued behind a whole chunk.
 func (d *download) fetchSlices(ctx context.Context, source topology.Source, request Request) ([]byte, error) {
-	controller := d.fetcher.linkController(source.Peer.Region, d.layout.Stripes())
-	request.Length = d.fetcher.sliceBytes()
+	sharers := d.layout.Stripes()
+	controller := d.fetcher.linkController(source.Peer.Region, sharers)
+	request.Length = d.fetcher.sliceBytes(sharers)
 	if err := d.awaitRemoteChunk(ctx, source, request); err != nil {
 		return nil, err
 	}
