agent: wait as long for an engine to load as loadTimeout says

What operators would see: an engine that takes longer than 30 s to load a set gets the same order again and again, each reported as failed, for as long as it loads.

Cause: loadTimeout was not used; orders had the timeout for the first byte of a response.

Change: orders to load have a client of their own. As before, an order is not given up when a newer ticket replaces it: two orders never overlap.

TestLoadOrderWaitsForLoad before: "the order to an engine that loads for 2m0s ended after 30.001s with send load order: fasthttp: timeout"; after: passes, 5 minutes for one that does not respond. internal/system passes.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -36,13 +36,15 @@
 	Network  daemon.Network
 	Log      *event.Logger
 
-	base      *daemon.Base
-	gate      *admission.Gate
-	drain     *daemon.Drain
-	served    *servedSet
-	store     *weights.Store
-	fetcher   *p2p.Fetcher
-	endpoint  *upstream.Client
+	base     *daemon.Base
+	gate     *admission.Gate
+	drain    *daemon.Drain
+	served   *servedSet
+	store    *weights.Store
+	fetcher  *p2p.Fetcher
+	endpoint *upstream.Client
+	// loads sends orders to load, whose response takes longer than any other.
+	loads     *upstream.Client
 	transport *transport.Transport
 	origin    platformclient.RoundTripFunc
 }
@@ -60,7 +62,7 @@
 		program.Tasks = append(program.Tasks, a.runRollouts, a.watchEngine)
 	}
 	err := a.base.RunProgram(stop, program)
-	a.endpoint.Close()
+	a.closeEndpointClients()
 	a.transport.Close()
 	return err
 }
@@ -85,7 +87,7 @@
 		WarmLimit: a.Settings.Endpoint.WarmLimit, ColdLimit: a.Settings.Endpoint.ColdLimit, ColdLatency: a.Settings.Endpoint.ColdLatency,
 		OnCold: func() { a.Log.Emit(event.EndpointCold, event.Fields{}) },
 	}
-	a.endpoint = (&upstream.Client{Dial: a.Network.Dial, FirstByteTimeout: endpointFirstByteTimeout, IdleTimeout: endpointIdleTimeout, DisableKeepAlives: !a.servesModel()}).Init()
+	a.newEndpointClients()
 	a.origin = platformclient.NewRoundTripFunc(a.Network.Dial)
 	a.transport = (&transport.Transport{
 		Dial: a.Network.Dial, Timeout: peerTimeout, LinkRate: float64(a.Settings.Weights.LinkRate),
@@ -102,6 +104,16 @@
 	return errors.Wrap(a.base.Server.Register("Agent", &service{agent: a}), "register agent service")
 }
 
+func (a *Agent) newEndpointClients() {
+	a.endpoint = (&upstream.Client{Dial: a.Network.Dial, FirstByteTimeout: endpointFirstByteTimeout, IdleTimeout: endpointIdleTimeout, DisableKeepAlives: !a.servesModel()}).Init()
+	a.loads = (&upstream.Client{Dial: a.Network.Dial, FirstByteTimeout: loadTimeout, IdleTimeout: endpointIdleTimeout}).Init()
+}
+
+func (a *Agent) closeEndpointClients() {
+	a.endpoint.Close()
+	a.loads.Close()
+}
+
 func (a *Agent) servesModel() bool { return a.Settings.Endpoint.Kind == "model" }
 
 func (a *Agent) ready() bool {
--- a/internal/agent/engine.go
+++ b/internal/agent/engine.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		return err
 	}
-	response, err := a.endpoint.Do(upstream.Request{
+	response, err := a.loads.Do(upstream.Request{
 		Method: fiber.MethodPut, Body: body.Bytes(),
 		URL: fmt.Sprintf("%s?set=%s&fence=%d", url, target.set, target.ticketNumber),
 	})
--- a/internal/agent/rollout.go
+++ b/internal/agent/rollout.go
@@ -18,7 +18,8 @@
 const (
 	rolloutRetryInterval = 300 * time.Millisecond
 	drainPollInterval    = 20 * time.Millisecond
-	loadTimeout          = 5 * time.Minute
+	// loadTimeout bounds the wait for the engine's response to an order to load.
+	loadTimeout = 5 * time.Minute
 )
 
 // rolloutTarget is the weight set that the newest ticket assigns to the
