agent: admit nothing for a lost set after an abandoned swap

What callers would see: errors of an engine that lost its weights just before a swap that a newer ticket cancels, until the engine's status is read again, up to 0.5 s and the delay of the status.

Cause: resumeAdmission recorded the set as served, which forgot that it was lost.

TestAbandonedSwapAdmitsNothingForLostSet before: "lost: requests admitted true after the abandoned swap, want false"; after: passes. The tests of internal/system on rollouts, lost weights and stale orders pass.

--- a/internal/agent/rollout.go
+++ b/internal/agent/rollout.go
@@ -199,10 +199,7 @@
 }
 
 // resumeAdmission admits requests again after an abandoned swap.
-func (a *Agent) resumeAdmission() {
-	set, number, _ := a.served.current()
-	a.served.replace(set, number)
-}
+func (a *Agent) resumeAdmission() { a.served.resume() }
 
 // loadTarget orders the engine to load the verified set. The ticket's number is
 // the fencing token.
--- a/internal/agent/served.go
+++ b/internal/agent/served.go
@@ -17,7 +17,9 @@
 	set          weights.Digest
 	ticketNumber int64
 	suspended    bool
-	inFlight     int
+	// lost is true if the engine no longer has the set loaded.
+	lost     bool
+	inFlight int
 }
 
 // acquire counts a request in flight that uses the set. It reports false while
@@ -56,7 +58,14 @@
 	if s.inFlight != 0 && set != s.set {
 		panic("weight set changed with requests in flight")
 	}
-	s.set, s.ticketNumber, s.suspended = set, number, set.IsZero()
+	s.set, s.ticketNumber, s.suspended, s.lost = set, number, set.IsZero(), false
+}
+
+// resume resumes admission unless the engine serves no set.
+func (s *servedSet) resume() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.suspended = s.set.IsZero() || s.lost
 }
 
 // current returns the set, the number of the ticket that assigned it, and
@@ -73,6 +82,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.set == set {
-		s.suspended = true
+		s.suspended, s.lost = true, true
 	}
 }
