agent: count a failed first event as a failure of the endpoint

What callers would see: an endpoint whose responses fail before their first event, with an error status or from other weights, receives its full limit of requests.

Cause: the slot recorded neither a first byte nor a failure.

TestFailedFirstEventMarksAnEndpointCold before: "after a response whose first event is from other weights: status 502, load {InFlight:0 Limit:8 Cold:false}, want a cold endpoint"; after: passes.

--- a/internal/agent/chat.go
+++ b/internal/agent/chat.go
@@ -55,6 +55,7 @@
 	first, err := readFirstEvent(response, checker)
 	if err != nil {
 		response.Close()
+		request.slot.RecordFailure()
 		request.release()
 		a.logMismatch(err, checker.RequestID)
 		return a.refuse(c, fiber.StatusBadGateway, outcome.Unknown, admission.Refusal{Reason: err.Error()})
--- a/internal/system/entry_test.go
+++ b/internal/system/entry_test.go
@@ -11,6 +11,7 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/mimosaward/mimosaward/internal/admission"
 	"github.com/mimosaward/mimosaward/internal/agent"
 	"github.com/mimosaward/mimosaward/internal/concurrency"
 	"github.com/mimosaward/mimosaward/internal/fakes"
@@ -189,3 +190,35 @@
 		}
 	})
 }
+
+// Guards against an endpoint that stays at its full limit although its responses fail before
+// their first event.
+func TestFailedFirstEventMarksAnEndpointCold(t *testing.T) {
+	inBubble(t, func(s *system) {
+		const body = `{"model":"draft","max_tokens":5,"messages":[{"role":"user","content":"x"}]}`
+		send := func() (admission.Load, int) {
+			response, err := s.client.Do(upstream.Request{
+				Method: "POST", URL: "http://draft-0-0:80/v1/chat/completions", Body: []byte(body), Headers: map[string]string{outcome.RequestIDHeader: "r"},
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer response.Close()
+			_, _ = response.ReadBody()
+			load, _ := agent.ParseLoad(response.Header(agent.LoadHeader))
+			return load, response.Status()
+		}
+		send()
+		if before, status := send(); before.Cold || status != 200 {
+			t.Fatalf("before the failure: status %d, load %+v, want a warm endpoint", status, before)
+		}
+		s.engines["draft-0-0"].SetFaults(fakes.EngineFaults{WrongWeights: 1})
+		if after, status := send(); !after.Cold || status != 502 {
+			t.Errorf("after a response whose first event is from other weights: status %d, load %+v, want a cold endpoint", status, after)
+		}
+		send()
+		if after, status := send(); after.Cold || status != 200 {
+			t.Errorf("after a response in time: status %d, load %+v, want a warm endpoint", status, after)
+		}
+	})
+}
