entry: test that a stop lets requests wait for an endpoint

The plain sleep in forward can do no harm: it is at most 90 ms, the deadline is checked after it, and a stop must not end it, as it lets requests in flight finish.

--- a/internal/system/stop_test.go
+++ b/internal/system/stop_test.go
@@ -206,3 +206,26 @@
 		requireComplete(t, s.runCallers(4, []int{0}, 2*time.Second))
 	})
 }
+
+// Guards against a request that is cut off, or answered late, while it waits for an endpoint
+// because the entry stops.
+func TestStopLetsRequestsWaitForAnEndpoint(t *testing.T) {
+	inBubble(t, func(s *system) {
+		for _, name := range s.processNames {
+			if instance := s.processes[name].instance; instance.Pool == "drafting" {
+				instance.Status = membership.Leaving
+				s.instances.Set(instance)
+			}
+		}
+		time.Sleep(zoneEvacuationBound)
+		s.scheduleStop("entry-0")
+		// The stop begins while the request waits.
+		time.Sleep(500 * time.Millisecond)
+		const admissionWait, maxOvershoot = 2 * time.Second, 100 * time.Millisecond
+		got, elapsed := s.timedChatCompletion(0)
+		if got.outcome != outcome.NotRun || elapsed < admissionWait || elapsed > admissionWait+maxOvershoot {
+			t.Errorf("request without an endpoint: %+v after %s, want a refusal after %s", got, elapsed, admissionWait)
+		}
+		<-s.processes["entry-0"].done
+	})
+}
