--- a/internal/p2p/links_test.go
+++ b/internal/p2p/links_test.go
@@ -17,7 +17,8 @@
 	if diff := cmp.Diff([]int{8, 8, 2, 1, 4}, got); diff != "" {
 		t.Errorf("slices in flight of an instance when the instances change (-want +got):\n%s", diff)
 	}
-	if fetcher.linkController("region", 2) != fetcher.linkController("region", 2) {
+	controller := fetcher.linkController("region", 2)
+	if again := fetcher.linkController("region", 2); again != controller {
 		t.Error("the measured rate of a link is lost although the instances have not changed")
 	}
 }
