--- a/internal/agent/rollout.go
+++ b/internal/agent/rollout.go
@@ -18,7 +18,8 @@
 const (
 	rolloutRetryInterval = 300 * time.Millisecond
 	drainPollInterval    = 20 * time.Millisecond
-	loadTimeout          = 5 * time.Minute
+	// loadTimeout bounds the wait for the engine's response to an order to load.
+	loadTimeout = 5 * time.Minute
 )
 
 // rolloutTarget is the weight set that the newest ticket assigns to the
@@ -198,10 +199,7 @@
 }
 
 // resumeAdmission admits requests again after an abandoned swap.
-func (a *Agent) resumeAdmission() {
-	set, number, _ := a.served.current()
-	a.served.replace(set, number)
-}
+func (a *Agent) resumeAdmission() { a.served.resume() }
 
 // loadTarget orders the engine to load the verified set. The ticket's number is
 // the fencing token.
