--- a/internal/integration/installation_test.go
+++ b/internal/integration/installation_test.go
@@ -244,6 +244,11 @@
 func (i *installation) startGateway(zone int) { i.startGatewayAt(zone, 0) }
 
 func (i *installation) startGatewayAt(zone, index int) {
+	i.startGatewayWith(zone, index, func(*gateway.Gateway) {})
+}
+
+// startGatewayWith starts a gateway that change has changed.
+func (i *installation) startGatewayWith(zone, index int, change func(g *gateway.Gateway)) {
 	name, ip := nameOfGateway(zone, index), hostOfGateway(zone, index)
 	d := i.deployment(name, ip, zone)
 	d.Listen = deployment.Listen{Clients: ip + ":8005", Readiness: ip + ":8002", Directory: ip + ":8009", Control: ip + ":8000"}
@@ -253,6 +258,7 @@
 		Deployment: d, Log: i.logger(name), Registry: i.metrics[name], Listen: network.Listen, Dial: withContext(network.Dial), DialStore: network.Dial,
 		Disconnected: fakes.PeerClosed, Stale: fakes.PeerClosed,
 	}
+	change(g)
 	i.startProcess(name, g.Run)
 }
 
