gateway: answer requests also if a stop resumes late

A process that is suspended during a stop and resumes shortly before the end of its grace period exited at once: requests that it had passed on ended without an answer, among them requests that may not be repeated. The exit had a fixed time, 300 ms after the requests in flight are canceled; after a pause both times have passed, so nothing waited for the answers of the canceled requests. Now this time starts with the cancellation itself. The process still exits as soon as all connections have ended.

A pause beyond the grace period is not covered: the platform kills the process then.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -60,7 +60,8 @@
 // drainRequests withdraws the gateway from the directory and serves until no request is in
 // flight, for at least minDrainTime. Then it closes the callers' address and waits until
 // every response is written. It cancels the requests that are still in flight when the
-// schedule says so.
+// schedule says so, and then waits until they are answered, however late it is: the process
+// may have been suspended.
 func (g *Gateway) drainRequests(callers *fasthttp.Server) {
 	schedule := newDrainSchedule(time.Now(), g.bounds.Load().GracePeriod)
 	g.drain.start(schedule)
@@ -71,11 +72,14 @@
 		}
 		time.Sleep(drainPollInterval)
 	}
-	cut := time.AfterFunc(time.Until(schedule.cutAt), func() { g.cutRequests(schedule.startedAt) })
-	defer cut.Stop()
-	ctx, cancel := context.WithDeadline(context.Background(), schedule.exitAt)
+	shutdown, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	err := callers.ShutdownWithContext(ctx)
+	cut := time.AfterFunc(time.Until(schedule.cutAt), func() {
+		g.cutRequests(schedule.startedAt)
+		time.AfterFunc(schedule.answerTime(), cancel)
+	})
+	defer cut.Stop()
+	err := callers.ShutdownWithContext(shutdown)
 	g.Log.Emit(event.DrainEnded, event.Fields{
 		"inFlight": g.requests.count(), "busyConnections": g.connections.active(), "tookMs": time.Since(schedule.startedAt).Milliseconds(), "error": errorText(err),
 	})
--- a/internal/gateway/drainschedule.go
+++ b/internal/gateway/drainschedule.go
@@ -36,6 +36,9 @@
 	}
 }
 
+// answerTime is how long the requests that are canceled may take until they are answered.
+func (s *drainSchedule) answerTime() time.Duration { return s.exitAt.Sub(s.cutAt) }
+
 // accepts reports whether a request may be accepted: one that arrives after acceptUntil must
 // have its final response before cutAt.
 func (s *drainSchedule) accepts(deadline, now time.Time) bool {
