gateway: keep a grace period that is shortened during a stop

If the settings shortened the grace period after SIGTERM, the stop went on by the longer one: the process would have been killed with requests that it had accepted, without an answer. The schedule was computed once, when the stop began. Now the requests in flight are canceled, and late requests refused, by the shortest grace period since SIGTERM. A longer one has no effect, as the platform may still count with the one from before; if it does count with the longer one of two, requests without a response get a 502 and streams end earlier than necessary.

TestStopKeepsShortenedGracePeriod shortens it from 30 to 8 s 0, 1 and 2.5 s after the stop began, with quick endpoints and with endpoints that hang, under calls of every kind.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/mimosaward/mimosaward/internal/concurrency"
 	"github.com/mimosaward/mimosaward/internal/dispatch"
 	"github.com/mimosaward/mimosaward/internal/event"
 )
@@ -44,6 +45,18 @@
 	d.schedule = &schedule
 }
 
+// limit returns the schedule of the stop, which has begun, for the grace period in the settings.
+// A shorter one than before shortens the stop; a longer one has no effect, because the platform
+// may still apply the one from before.
+func (d *drain) limit(gracePeriod time.Duration) drainSchedule {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if next := newDrainSchedule(d.schedule.startedAt, gracePeriod); next.cutAt.Before(d.schedule.cutAt) {
+		d.schedule = &next
+	}
+	return *d.schedule
+}
+
 func (d *drain) started() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -66,25 +79,36 @@
 	schedule := newDrainSchedule(time.Now(), g.bounds.Load().GracePeriod)
 	g.drain.start(schedule)
 	g.Log.Emit(event.DrainStarted, event.Fields{"inFlight": g.requests.count(), "cutAfterMs": schedule.cutAt.Sub(schedule.startedAt).Milliseconds()})
-	for time.Now().Before(schedule.cutAt) {
+	shutdown, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g.tasks.Go(func(context.Context) { g.cutAtEnd(shutdown, cancel) })
+	for time.Now().Before(g.drain.limit(g.bounds.Load().GracePeriod).cutAt) {
 		if time.Since(schedule.startedAt) > minDrainTime && g.requests.count() == 0 {
 			break
 		}
 		time.Sleep(drainPollInterval)
 	}
-	shutdown, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	cut := time.AfterFunc(time.Until(schedule.cutAt), func() {
-		g.cutRequests(schedule.startedAt)
-		time.AfterFunc(schedule.answerTime(), cancel)
-	})
-	defer cut.Stop()
 	err := callers.ShutdownWithContext(shutdown)
 	g.Log.Emit(event.DrainEnded, event.Fields{
 		"inFlight": g.requests.count(), "busyConnections": g.connections.active(), "tookMs": time.Since(schedule.startedAt).Milliseconds(), "error": errorText(err),
 	})
 }
 
+// cutAtEnd cancels the requests in flight when the schedule says so, and calls exit when they
+// have had time to be answered. It returns early if ctx is done.
+func (g *Gateway) cutAtEnd(ctx context.Context, exit context.CancelFunc) {
+	schedule := g.drain.limit(g.bounds.Load().GracePeriod)
+	for time.Now().Before(schedule.cutAt) {
+		if !concurrency.Sleep(ctx, min(drainPollInterval, time.Until(schedule.cutAt))) {
+			return
+		}
+		schedule = g.drain.limit(g.bounds.Load().GracePeriod)
+	}
+	g.cutRequests(schedule.startedAt)
+	concurrency.Sleep(ctx, schedule.answerTime())
+	exit()
+}
+
 // cutRequests cancels the requests in flight, so that those without a response are answered
 // before the process exits.
 func (g *Gateway) cutRequests(start time.Time) {
--- a/internal/integration/stopmoments_test.go
+++ b/internal/integration/stopmoments_test.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/mimosaward/mimosaward/internal/concurrency"
+	"github.com/mimosaward/mimosaward/internal/deployment"
 	"github.com/mimosaward/mimosaward/internal/gateway"
 	"github.com/mimosaward/mimosaward/platform/platformtest"
 )
@@ -29,8 +30,12 @@
 
 // stopCase is a stop of a gateway while its callers send requests of every kind.
 type stopCase struct {
-	name  string
+	name string
+	// grace is the grace period that the platform applies.
 	grace time.Duration
+	// settingsGrace is the grace period of the settings until reloadAt, if it is another one.
+	settingsGrace time.Duration
+	reloadAt      time.Duration
 	// processing is how long endpoints process a plain request.
 	processing time.Duration
 	// faults are those of all endpoints from faultsAt on, until faultsUntil if that is set.
@@ -95,9 +100,9 @@
 }
 
 // callAtEachMoment stops the gateway of zone 0 and sends it calls of every kind until it has
-// exited, on new and on kept connections. It returns the outcomes and the time that the stop
-// took.
-func (i *installation) callAtEachMoment(c stopCase) (outcomes []stopOutcome, took time.Duration) {
+// exited, on new and on kept connections. It calls meanwhile when the stop begins and returns
+// the outcomes and the time that the stop took.
+func (i *installation) callAtEachMoment(c stopCase, meanwhile func()) (outcomes []stopOutcome, took time.Duration) {
 	moments := int(c.grace / stopInterval(c.grace))
 	kept := make([]net.Conn, 0, 4*moments)
 	for range cap(kept) {
@@ -106,6 +111,7 @@
 	var mu sync.Mutex
 	callers := concurrency.NewGroup(context.Background())
 	start := time.Now()
+	callers.Go(func(context.Context) { meanwhile() })
 	callers.Go(func(context.Context) {
 		i.stopProcess(gatewayName(0))
 		took = time.Since(start)
@@ -230,6 +236,19 @@
 	}
 }
 
+// Guards against a stop that lasts longer than a grace period that was shortened meanwhile, so
+// that the process is killed with requests that it has accepted.
+func TestStopKeepsShortenedGracePeriod(t *testing.T) {
+	for _, reloadAt := range []time.Duration{0, time.Second, 2500 * time.Millisecond} {
+		for _, faults := range []platformtest.EndpointFaults{{}, {Hang: true}} {
+			c := stopCase{grace: 8 * time.Second, settingsGrace: 30 * time.Second, reloadAt: reloadAt, faults: faults}
+			t.Run(fmt.Sprintf("shortened after %s, endpoints hang: %t", reloadAt, faults.Hang), func(t *testing.T) {
+				withInstallation(t, func(i *installation) { i.checkStop(c) })
+			})
+		}
+	}
+}
+
 // checkStop restarts the gateway of zone 0 with the grace period of the case and stops it.
 func (i *installation) checkStop(c stopCase) {
 	i.configure(func(state *platformtest.DesiredState) {
@@ -242,9 +261,20 @@
 		i.startService("booking", 0, index+1)
 	}
 	i.stopProcess(gatewayName(0))
-	i.startGatewayWith(0, 0, func(g *gateway.Gateway) { g.Deployment.Bounds.GracePeriod = c.grace })
+	reload := make(chan deployment.Deployment, 1)
+	i.startGatewayWith(0, 0, func(g *gateway.Gateway) {
+		g.Deployment.Bounds.GracePeriod = cmp.Or(c.settingsGrace, c.grace)
+		g.Reload = reload
+	})
 	time.Sleep(startupTime)
-	outcomes, took := i.callAtEachMoment(c)
+	outcomes, took := i.callAtEachMoment(c, func() {
+		if c.settingsGrace > 0 {
+			time.Sleep(c.reloadAt)
+			next := deployment.Deployment{Bounds: bounds}
+			next.Bounds.GracePeriod = c.grace
+			reload <- next
+		}
+	})
 	if took >= c.grace {
 		i.t.Errorf("the process exits after %s, the grace period is %s", took, c.grace)
 	}
