cli: read the settings again before a stop begins

The settings may change without a signal, and SIGHUP may come together with SIGTERM. A gateway that had not noticed the change yet drained by the grace period from before: with a longer one, it would be killed with requests in flight; with a shorter one, it ended streams that had time to complete. The file is polled every 2 s, and a stop did not wait for the reaction to SIGHUP.

Now a stop begins once the file was read again, or after 100 ms if reading blocks, and the gateway applies settings that wait for it. A file whose read blocks keeps the process from exiting no longer: background tasks get 300 ms, as the log does.

TestSettingsChangedBeforeStopAreReloaded failed before ("process ended before it printed "grace period 9s"") and passes now, with and without SIGHUP. TestUnreadableSettingsDoNotDelayStop passed before and passes now. TestMetricsWhileDraining, which is not changed, failed once in 12 runs before this change and once in 14 after it, on a machine with a load of about 49: the process exits 500 ms after the signal, which the test does not always reach.

--- a/internal/cli/platformdaemon.go
+++ b/internal/cli/platformdaemon.go
@@ -99,21 +99,24 @@
 	log := logger.Queued()
 	logWriter := concurrency.NewGroup(context.Background())
 	logWriter.Go(log.Run)
-	defer flushLog(logWriter)
-	ctx := stopSignal()
+	defer stopBackground(logWriter)
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector())
-	watcher := &settingsWatcher{file: options.Settings, log: log, hangups: hangups, changed: make(chan deployment.Deployment, 1), last: loaded}
+	watcher := &settingsWatcher{
+		file: options.Settings, log: log, hangups: hangups, stop: stopSignal(), stopChecked: make(chan struct{}), changed: make(chan deployment.Deployment, 1), last: loaded,
+	}
 	// The metrics and the watcher must last until the program has drained.
 	background := concurrency.NewGroup(context.Background())
 	background.Go(watcher.run)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	background.Go(func(backgroundCtx context.Context) { watcher.awaitStop(backgroundCtx, cancel) })
 	if options.MetricsPort > 0 {
 		address := net.JoinHostPort(loaded.Instance.IP, strconv.Itoa(options.MetricsPort))
 		background.Go(func(ctx context.Context) { serveMetrics(ctx, address, registry, log) })
 	}
 	err = d.Run(ctx, Environment{Deployment: loaded, Log: log, Registry: registry, Reload: watcher.changed})
-	background.Stop()
-	background.Wait()
+	stopBackground(background)
 	if err != nil {
 		log.Emit(event.ServerFailed, event.Fields{"error": err.Error()})
 		return Fail(streams, err)
@@ -122,22 +125,24 @@
 	return ExitSuccess
 }
 
-// logFlushTimeout bounds the time in which the last records are written: a log output that
-// nobody reads must not keep the process running.
-const logFlushTimeout = 300 * time.Millisecond
+// backgroundStopTimeout bounds the time in which background tasks end, and the last records are
+// written: a log output that nobody reads, or settings that cannot be read, must not keep the
+// process running.
+const backgroundStopTimeout = 300 * time.Millisecond
 
-// flushLog stops the log writer and waits until it has written the queued records.
-func flushLog(logWriter *concurrency.Group) {
-	logWriter.Stop()
-	flushed := make(chan struct{})
+// stopBackground stops the tasks and waits until they have ended, for at most
+// backgroundStopTimeout.
+func stopBackground(tasks *concurrency.Group) {
+	tasks.Stop()
+	ended := make(chan struct{})
 	waiter := concurrency.NewGroup(context.Background())
 	waiter.Go(func(context.Context) {
-		logWriter.Wait()
-		close(flushed)
+		tasks.Wait()
+		close(ended)
 	})
 	select {
-	case <-flushed:
-	case <-time.After(logFlushTimeout):
+	case <-ended:
+	case <-time.After(backgroundStopTimeout):
 	}
 }
 
--- a/internal/cli/platformdaemon_test.go
+++ b/internal/cli/platformdaemon_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/mimosaward/mimosaward/internal/cli"
+	"github.com/mimosaward/mimosaward/internal/deployment"
 	"github.com/mimosaward/mimosaward/internal/event"
 	"github.com/mimosaward/mimosaward/internal/settings"
 )
@@ -46,22 +47,28 @@
 			Name: "daemon", Load: func(string) (settings.Log, string, error) {
 				return settings.Log{Format: "json", Level: "info"}, "own", nil
 			},
-			Run: func(ctx context.Context, _ *event.Logger) error { return runDaemon(ctx) },
+			Run: func(ctx context.Context, _ *event.Logger) error { return runDaemon(ctx, nil) },
 		}
 		os.Exit(command.Main([]string{"--settings", file}, cli.Streams{Out: os.Stdout, Err: os.Stderr}))
 	default:
 		command := &cli.PlatformDaemonCommand{Name: "daemon", Run: func(ctx context.Context, env cli.Environment) error {
 			env.Log.Emit(event.ProcessStarted, event.Fields{"address": strings.Repeat("a", logRecordBytes)})
-			return runDaemon(ctx)
+			return runDaemon(ctx, env.Reload)
 		}}
 		os.Exit(command.Main([]string{"--settings", file, "--metrics-port", os.Getenv(metricsPortOfDaemon)}, cli.Streams{Out: os.Stdout, Err: os.Stderr}))
 	}
 }
 
-// runDaemon prints "running" and, when it is asked to stop, "draining".
-func runDaemon(ctx context.Context) error {
+// runDaemon prints "running" and, when it is asked to stop, "draining". Before that, it prints
+// the grace period of changed settings.
+func runDaemon(ctx context.Context, reload <-chan deployment.Deployment) error {
 	fmt.Fprintln(os.Stderr, "running")
 	<-ctx.Done()
+	select {
+	case changed := <-reload:
+		fmt.Fprintln(os.Stderr, "grace period", changed.Bounds.GracePeriod)
+	default:
+	}
 	fmt.Fprintln(os.Stderr, "draining")
 	time.Sleep(drainTime)
 	return nil
@@ -159,6 +166,55 @@
 	daemon.requireExit()
 }
 
+// Guards against a process that drains by the old grace period because its settings changed, with
+// or without a signal, just before it was asked to stop.
+func TestSettingsChangedBeforeStopAreReloaded(t *testing.T) {
+	for _, hangup := range []bool{false, true} {
+		settings := filepath.Join(t.TempDir(), "instance.toml")
+		copySettings(t, settings)
+		daemon := startDaemon(t, settings, discardLog)
+		daemon.requireLine("running")
+		content, err := os.ReadFile(settings)
+		if err != nil {
+			t.Fatal(err)
+		}
+		changed := settings + ".new"
+		if err := os.WriteFile(changed, []byte(strings.Replace(string(content), "grace_s = 8", "grace_s = 9", 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Rename(changed, settings); err != nil {
+			t.Fatal(err)
+		}
+		if hangup {
+			daemon.signal(syscall.SIGHUP)
+		}
+		daemon.signal(syscall.SIGTERM)
+		daemon.requireLine("grace period 9s")
+		daemon.requireExit()
+	}
+}
+
+// Guards against a stop that waits for settings that cannot be read.
+func TestUnreadableSettingsDoNotDelayStop(t *testing.T) {
+	settings := filepath.Join(t.TempDir(), "instance.toml")
+	copySettings(t, settings)
+	daemon := startDaemon(t, settings, discardLog)
+	daemon.requireLine("running")
+	if err := os.Remove(settings); err != nil {
+		t.Fatal(err)
+	}
+	// A pipe without a writer blocks its reader.
+	if err := syscall.Mkfifo(settings, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	daemon.signal(syscall.SIGTERM)
+	// A process that waits for the settings would not end before it is killed.
+	timer := time.AfterFunc(20*drainTime, func() { _ = daemon.command.Process.Kill() })
+	defer timer.Stop()
+	daemon.requireLine("draining")
+	daemon.requireExit()
+}
+
 // Guards against a process that ends when it receives SIGHUP although it has no settings to
 // reload.
 func TestHangupDoesNotEndOwnDaemon(t *testing.T) {
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -76,6 +76,11 @@
 // schedule says so, and then waits until they are answered, however late it is: the process
 // may have been suspended.
 func (g *Gateway) drainRequests(callers *fasthttp.Server) {
+	select {
+	case updated := <-g.Reload:
+		g.bounds.Store(&updated.Bounds)
+	default:
+	}
 	schedule := newDrainSchedule(time.Now(), g.bounds.Load().GracePeriod)
 	g.drain.start(schedule)
 	g.Log.Emit(event.DrainStarted, event.Fields{"inFlight": g.requests.count(), "cutAfterMs": schedule.cutAt.Sub(schedule.startedAt).Milliseconds()})
