entry: ask the other entries for their load at the same time

An entry asked up to 16 others one after another, each for up to a second, while the stop of an entry assumes that the others notice it within 3 s and the TTL of an address. With frozen entries among them, callers were sent on to an entry that had been stopping for longer. Now all are asked at once.

TestAddressesExcludeStoppingEntriesDespiteFrozenOnes freezes 12 of 15 entries; before the fix, the addresses 3 s after entry-1 began to stop were [entry-1:80 entry-2:80 entry-0:80].

--- a/internal/entry/addresses.go
+++ b/internal/entry/addresses.go
@@ -80,26 +80,39 @@
 	}
 }
 
-// pollPeers requests the load of a bounded set of other entries.
+// pollPeers requests the load of a bounded set of other entries, of all at the same time: a
+// frozen one must not delay the news of the others.
 func (e *Entry) pollPeers(ctx context.Context) {
+	var mu sync.Mutex
 	loads := map[string]peerLoad{}
+	calls := concurrency.NewGroup(ctx)
 	for _, peer := range e.peerEntries() {
 		if peer.Name == e.base.Self.Name {
 			continue
 		}
-		callCtx, cancel := context.WithTimeout(ctx, loadCallTimeout)
-		var reply LoadReply
-		err := e.base.Control.Call(callCtx, peer.ControlAddress, "Entry.Load", &LoadArgs{}, &reply)
-		cancel()
-		if err != nil {
-			loads[peer.Name] = peerLoad{failed: true}
-			continue
-		}
-		loads[peer.Name] = peerLoad{LoadReply: reply}
+		calls.Go(func(ctx context.Context) {
+			load := e.pollPeer(ctx, peer)
+			mu.Lock()
+			defer mu.Unlock()
+			loads[peer.Name] = load
+		})
 	}
+	calls.Wait()
+	calls.Stop()
 	e.peers.set(loads)
 }
 
+// pollPeer requests the load of another entry.
+func (e *Entry) pollPeer(ctx context.Context, peer membership.Instance) peerLoad {
+	ctx, cancel := context.WithTimeout(ctx, loadCallTimeout)
+	defer cancel()
+	var reply LoadReply
+	if err := e.base.Control.Call(ctx, peer.ControlAddress, "Entry.Load", &LoadArgs{}, &reply); err != nil {
+		return peerLoad{failed: true}
+	}
+	return peerLoad{LoadReply: reply}
+}
+
 // peerEntries returns the entries whose addresses this entry returns to
 // callers. The set may include this entry.
 func (e *Entry) peerEntries() []membership.Instance {
--- a/internal/system/entry_test.go
+++ b/internal/system/entry_test.go
@@ -78,6 +78,41 @@
 	})
 }
 
+// Guards against callers being sent to an entry that has been stopping for longer than its stop
+// assumes, because the entry that they asked waits for one frozen entry after another.
+func TestAddressesExcludeStoppingEntriesDespiteFrozenOnes(t *testing.T) {
+	inBubble(t, func(s *system) {
+		for index := zoneCount; index < zoneCount+frozenEntries; index++ {
+			s.startEntry(index)
+		}
+		time.Sleep(startupTime)
+		for index := zoneCount; index < zoneCount+frozenEntries; index++ {
+			s.network.Freeze(fmt.Sprintf("entry-%d", index), "entry-0")
+		}
+		time.Sleep(startupTime)
+		requests := concurrency.NewGroup(context.Background())
+		requests.Go(func(context.Context) { s.longChatCompletion("entry-1") })
+		time.Sleep(100 * time.Millisecond)
+		s.processes["entry-1"].stop()
+		time.Sleep(stopNoticeBound)
+		if remaining, _ := s.addresses(0, zoneName(1)); slices.Contains(remaining, "entry-1:80") {
+			t.Errorf("addresses %s after entry-1 began to stop: %v", stopNoticeBound, remaining)
+		}
+		for index := zoneCount; index < zoneCount+frozenEntries; index++ {
+			s.network.Unfreeze(fmt.Sprintf("entry-%d", index), "entry-0")
+		}
+		requests.Wait()
+	})
+}
+
+const (
+	// frozenEntries is fewer than the entries whose load one entry polls.
+	frozenEntries = 12
+	// stopNoticeBound is the time after which a stopping entry assumes that the others have
+	// noticed: the pause between their polls and the timeout of a call.
+	stopNoticeBound = 3 * time.Second
+)
+
 // Entries at the same distance are ordered by load. The test guards against a busy
 // entry being listed before idle ones.
 func TestAddressesPreferLessLoadedEntries(t *testing.T) {
