--- a/internal/integration/weights_test.go
+++ b/internal/integration/weights_test.go
@@ -137,6 +137,20 @@
 	}
 }
 
+// Guards against engines that keep a replaced version while no gateway runs: their loaders read
+// the wanted version from the object store.
+func TestRolloutWithoutGateways(t *testing.T) {
+	withInstallation(t, func(i *installation) {
+		for zone := range zoneCount {
+			i.stopProcess(gatewayName(zone))
+		}
+		i.store.RequestRollout(modelName, 2)
+		// Loaders wait 3 s for a gateway before they read the store.
+		time.Sleep(3*time.Second + bounds.Rollout)
+		i.checkVersion("after the time limit", 2)
+	})
+}
+
 // A new engine has no weights. It loads the current version from its peers, not from the
 // origin.
 func TestNewEngineLoadsFromPeers(t *testing.T) {
