--- a/Makefile
+++ b/Makefile
@@ -12,12 +12,18 @@
 GATEWAYS ?= 3
 ENGINES ?= 2
 
-.PHONY: build demo test lint unit rename bench soak process-soak capacity docs
+.PHONY: build load demo test lint unit rename bench soak process-soak capacity docs
 
 build:
 	go build -o $(BIN)/ ./cmd/...
 
-# Runs the whole system as separate processes under load and faults.
+# Runs gateways, and engines with loaders, as processes under load, with stand-ins for the users'
+# platform, and prints what callers saw: make load DURATION=1m GATEWAYS=5 ENGINES=4
+load: DURATION = 15s
+load:
+	go test ./internal/lifecycle -count=1 -timeout 120m -v -run '^TestLoad$$' -args -seed $(SEED) -duration $(DURATION) -gateways $(GATEWAYS) -engines $(ENGINES)
+
+# Runs entries and agents as separate processes under load and faults.
 demo: build
 	$(BIN)/mimosaward-demo run --binaries $(BIN) --site $(SITE)
 
