--- a/internal/lint/knownred_test.go
+++ b/internal/lint/knownred_test.go
@@ -42,10 +42,10 @@
 	}
 }
 
-// countTests returns the number of test functions with each name.
+// countTests returns the number of test and fuzz functions with each name.
 func countTests(t *testing.T) map[string]int {
 	t.Helper()
-	testFunction := regexp.MustCompile(`(?m)^func (Test[A-Za-z0-9_]+)\(`)
+	testFunction := regexp.MustCompile(`(?m)^func ((?:Test|Fuzz)[A-Za-z0-9_]+)\(`)
 	counts := map[string]int{}
 	err := filepath.WalkDir(moduleRoot, func(path string, entry fs.DirEntry, err error) error {
 		if err != nil || entry.IsDir() || !strings.HasSuffix(path, "_test.go") {
