docs: settings of gateways and loaders, generated from the code

docs/settings.md described the settings of entries, agents and the command line only. It now has every value that a gateway or loader reads: when it is required, unit or type, and effect, generated with make docs from a list in platform. None has a default.

The page shows that 17 required values are checked and have no effect, among them the retry budget and the bounds for cold endpoints: the program uses 15 repeats per hundred requests, and the rate of the service's configuration without overshoot and tolerance. A search for the fields in the code found no use of them.

--- a/internal/settings/reference.go
+++ b/internal/settings/reference.go
@@ -8,7 +8,8 @@
 	"time"
 )
 
-// Reference returns the settings reference, docs/settings.md.
+// Reference returns the settings reference, docs/settings.md, without the part about settings
+// files of the users' platform.
 func Reference() string {
 	var page strings.Builder
 	page.WriteString(referenceIntro)
@@ -28,7 +29,8 @@
 
 const referenceIntro = `# Settings
 
-Settings are JSON files. They are checked as a whole: unknown and duplicate keys,
+Settings of entries, agents and the command line are JSON files; those of gateways and
+loaders follow at the end. JSON files are checked as a whole: unknown and duplicate keys,
 missing keys, values without a unit and conflicting values are reported together,
 each with file, line and key path. "mimosaward settings check --kind entry FILE"
 checks a file without starting a program.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/mimosaward/mimosaward/internal/settings"
+	"github.com/mimosaward/mimosaward/platform"
 )
 
 var update = flag.Bool("update", false, "rewrite docs/settings.md")
@@ -18,8 +19,9 @@
 // The settings reference in docs must match the code.
 func TestReference(t *testing.T) {
 	const file = "../../docs/settings.md"
+	want := settings.Reference() + platform.SettingsReference()
 	if *update {
-		if err := os.WriteFile(file, []byte(settings.Reference()), 0o600); err != nil {
+		if err := os.WriteFile(file, []byte(want), 0o600); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -27,7 +29,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if diff := cmp.Diff(settings.Reference(), string(page)); diff != "" {
+	if diff := cmp.Diff(want, string(page)); diff != "" {
 		t.Errorf("docs/settings.md differs from the code, run \"make docs\" (-want +got):\n%s", diff)
 	}
 }
