gateway: log a fingerprint of what a request asks for

The log could not tell whether two requests with the same shared prompt parts were the same request. Events 4101 and 4108 now name a hash of method, host, target, caller, prompt parts and body; no decision depends on it.

--- a/internal/clientrequest/clientrequest.go
+++ b/internal/clientrequest/clientrequest.go
@@ -41,4 +41,6 @@
 	// SharedParts holds the IDs of the first parts of the prompt, without the last part,
 	// which only this request or its session has.
 	SharedParts []string
+	// Prompt lists all parts of the prompt, as the client sent it; empty if it sent none.
+	Prompt string
 }
--- a/internal/gateway/enginecrash.go
+++ b/internal/gateway/enginecrash.go
@@ -134,7 +134,7 @@
 	g := r.gateway
 	g.metrics.suspectedCrashes.Inc()
 	g.Log.Emit(event.CrashSuspected, event.Fields{
-		"request": r.clientRequest.ID, "endpoint": endpoint.ID, "incarnation": endpoint.Incarnation, "phase": phase, "parts": parts, "error": err.Error(),
+		"request": r.clientRequest.ID, "endpoint": endpoint.ID, "incarnation": endpoint.Incarnation, "phase": phase, "parts": parts, "fingerprint": r.fingerprint, "error": err.Error(),
 	})
 	g.crashDetector.observe(g.tasks, endpoint, parts)
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -24,6 +24,8 @@
 	gateway       *Gateway
 	httpCtx       *fasthttp.RequestCtx
 	clientRequest clientrequest.Request
+	// fingerprint identifies what the request asks for.
+	fingerprint   string
 	configuration *configuration.Configuration
 	route         *configuration.Route
 	workspace     *configuration.Workspace
@@ -106,6 +108,7 @@
 		gateway: g, httpCtx: c, clientRequest: platform.ParseRequestHeader(&c.Request.Header), arrived: time.Now(), conn: c.Conn(),
 		configuration: g.configuration(),
 	}
+	r.fingerprint = fingerprint(&r.clientRequest, c.Request.Body())
 	r.ctx, r.cancel = context.WithCancelCause(context.Background())
 	g.requests.add(r)
 	return r
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -23,6 +23,7 @@
 		"expectedMs": decision.PredictedLatency.Milliseconds(), "waitedMs": decision.QueueTime.Milliseconds(), "prompt": r.clientRequest.Inference.PromptTokens,
 		"patienceMs": r.clientRequest.Timeout.Milliseconds(), "returned": r.isRetry, "configuration": r.configuration.Version(),
 		"limited": decision.Announcement.Limited, "requestRate": decision.Announcement.RequestRate, "grantedBy": decision.Lender,
+		"fingerprint": r.fingerprint,
 	})
 }
 
