known red: one request ends one worker after the other

TestDeadlyRequestStopsReachingWorkers sends the same request again and again to three gateways, beside sound requests.

--- a/internal/integration/installation_test.go
+++ b/internal/integration/installation_test.go
@@ -181,7 +181,7 @@
 func (i *installation) startService(service string, zone, index int) *platformtest.Endpoint {
 	endpoint := &platformtest.Endpoint{
 		ID: fmt.Sprintf("%s-%d-%d", service, zone, index), Incarnation: 1, Service: service, Address: fmt.Sprintf("10.%d.%d.3:90", zone, index+10),
-		Zone: zoneName(zone), Slots: 6, ProcessingTime: 20 * time.Millisecond, Store: i.store,
+		Zone: zoneName(zone), Slots: 6, ProcessingTime: 20 * time.Millisecond, RestartDelay: 2 * time.Second, Store: i.store,
 	}
 	i.startEndpoint(endpoint)
 	return endpoint
