quarantine: reject requests that crash every worker that runs them

A request that crashes its worker and comes again went to one worker after the other. The gateways remembered prompt parts that requests share, only for streams, and sound requests with the same first part cleared them.

The fingerprint of a request is now one more suspected part, for plain services too, and uses the evidence, spread, decision, refusal and trial that exist. It is suspected until its response is complete. If a prompt part is in no more crashes than a fingerprint, only the latter is rejected. A gateway sends a request under which two workers ended to no third one.

The new tests fail without the answers that clear fingerprints, without the end of the attempts, without its check, without the evidence of late breaks, and without the preference for fingerprints.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -108,10 +108,10 @@
 	LenderUnreachable  = Event{4107, logrus.WarnLevel, "gateway that grants endpoints does not respond", "If this repeats, check that gateway and the network to it."}
 	AttemptFailed      = Event{4104, logrus.WarnLevel, "endpoint failed to serve a request", "If this repeats for an endpoint, check the endpoint and the network to it."}
 	CrashSuspected     = Event{4108, logrus.WarnLevel, "connection to an engine broke under a request that it had begun or not yet answered", "If the engine ended, an event of the confirmed end follows; otherwise check the network to the engine."}
-	CrashConfirmed     = Event{4109, logrus.WarnLevel, "engine ended under requests", "The prompt parts of these requests are suspected until a request with them is answered."}
-	PartRejected       = Event{4110, logrus.WarnLevel, "requests with a prompt part are refused because engines ended under them", "Find the prompts with this part; callers get a refusal until the time in the record."}
-	PartAdmitted       = Event{4111, logrus.InfoLevel, "requests with a prompt part are admitted again after one was answered", noAction}
-	PartTried          = Event{4112, logrus.InfoLevel, "single request with a refused prompt part sent to find out whether engines still end", noAction}
+	CrashConfirmed     = Event{4109, logrus.WarnLevel, "engine ended under requests", "These requests and their prompt parts are suspected until such a request is answered."}
+	PartRejected       = Event{4110, logrus.WarnLevel, "requests with a prompt part or fingerprint are refused because engines ended under them", "Find the prompts with this part, or the request in the records of requests sent; callers get a refusal until the time in the record."}
+	PartAdmitted       = Event{4111, logrus.InfoLevel, "requests with a prompt part or fingerprint are admitted again after one was answered", noAction}
+	PartTried          = Event{4112, logrus.InfoLevel, "single request with a refused prompt part or fingerprint sent to find out whether engines still end", noAction}
 	EndpointAnnounced  = Event{4114, logrus.InfoLevel, "endpoint announced a change of its request limit, or that it is leaving", "If an endpoint keeps a limit, check what it lacks."}
 	TurnedAway         = Event{4115, logrus.InfoLevel, "endpoint turned this gateway away for a time", "If this repeats for an endpoint, check its load."}
 	RequestCut         = Event{4120, logrus.WarnLevel, "request cut off by the exit of the process", "If this repeats, check that the grace period exceeds the time that requests take."}
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -42,6 +42,9 @@
 		a.grant.Record(dispatch.Responded)
 	}
 	if a.response.Status < fasthttp.StatusMultipleChoices {
+		r.recordPartsAnswered()
+	}
+	if a.response.Status < fasthttp.StatusInternalServerError {
 		r.recordAnswered()
 	}
 	if a.falsePromise() {
@@ -118,6 +121,8 @@
 			return nil, lastRefusal
 		case attempts >= r.route.MaxAttempts || unsent >= maxUnsentAttempts:
 			return nil, lastRefusal
+		case r.crashedTooMany():
+			return nil, lastRefusal
 		case failed.sent && !paid && !r.gateway.retries.AllowRetry():
 			return nil, lastRefusal
 		}
--- a/internal/gateway/enginecrash.go
+++ b/internal/gateway/enginecrash.go
@@ -21,10 +21,12 @@
 	phaseUnanswered = "unanswered"
 	phaseFirstEvent = "beforeFirstEvent"
 	phaseEarly      = "early"
+	phaseLate       = "late"
 )
 
-// earlyPhase is the time after the first event in which the request may be the cause of the
-// end of its engine. A prompt that crashes engines does so within a few tokens.
+// earlyPhase is the time after the first event in which the prompt parts of a request may be the
+// cause of the end of its engine: a part that crashes engines does so within a few tokens. The
+// request itself may be the cause until its response is complete.
 const earlyPhase = 250 * time.Millisecond
 
 // probeDelay is the delay before the attempt to connect to an engine whose connection broke.
@@ -47,44 +49,58 @@
 	OnCrash func(crash quarantine.Crash)
 
 	mu sync.Mutex
-	// suspected holds the parts of the requests under which a connection to an engine broke,
-	// while its end is not confirmed yet.
-	suspected map[engineStart][]string
+	// checks holds the checks that have not finished yet.
+	checks map[engineStart]*crashCheck
 }
 
-// observe records a connection that broke under a request with the parts.
-func (d *crashDetector) observe(group *concurrency.Group, endpoint clusterstate.Endpoint, parts []string) {
+// crashCheck finds out whether an engine ended whose connection broke.
+type crashCheck struct {
+	// parts are those of the requests under which a connection broke. The detector's mutex
+	// guards them.
+	parts []string
+	// done is closed when ended is known.
+	done  chan struct{}
+	ended bool
+}
+
+// observe records a connection that broke under a request with the parts. It returns the check
+// of the engine.
+func (d *crashDetector) observe(group *concurrency.Group, endpoint clusterstate.Endpoint, parts []string) *crashCheck {
 	if d.Leaving(endpoint) {
-		return
+		check := &crashCheck{done: make(chan struct{})}
+		close(check.done)
+		return check
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	start := engineStart{endpoint: endpoint.ID, incarnation: endpoint.Incarnation}
-	known, pending := d.suspected[start]
-	if d.suspected == nil {
-		d.suspected = map[engineStart][]string{}
+	check := d.checks[start]
+	if check == nil {
+		if d.checks == nil {
+			d.checks = map[engineStart]*crashCheck{}
+		}
+		check = &crashCheck{done: make(chan struct{})}
+		d.checks[start] = check
+		at := time.Now()
+		group.Go(func(ctx context.Context) { d.confirm(ctx, endpoint, at, check) })
 	}
 	for _, part := range parts {
-		if !slices.Contains(known, part) {
-			known = append(known, part)
+		if !slices.Contains(check.parts, part) {
+			check.parts = append(check.parts, part)
 		}
 	}
-	d.suspected[start] = known
-	if !pending {
-		at := time.Now()
-		group.Go(func(ctx context.Context) { d.confirm(ctx, endpoint, at) })
-	}
+	return check
 }
 
 // confirm reports the crash of an endpoint at a time if the endpoint refuses connections.
-func (d *crashDetector) confirm(ctx context.Context, endpoint clusterstate.Endpoint, at time.Time) {
-	ended := concurrency.Sleep(ctx, probeDelay) && d.refuses(ctx, endpoint.Address)
+func (d *crashDetector) confirm(ctx context.Context, endpoint clusterstate.Endpoint, at time.Time, check *crashCheck) {
+	defer close(check.done)
+	check.ended = concurrency.Sleep(ctx, probeDelay) && d.refuses(ctx, endpoint.Address)
 	d.mu.Lock()
-	start := engineStart{endpoint: endpoint.ID, incarnation: endpoint.Incarnation}
-	parts := d.suspected[start]
-	delete(d.suspected, start)
+	delete(d.checks, engineStart{endpoint: endpoint.ID, incarnation: endpoint.Incarnation})
+	parts := check.parts
 	d.mu.Unlock()
-	if ended {
+	if check.ended {
 		d.OnCrash(quarantine.Crash{Endpoint: endpoint.ID, Incarnation: endpoint.Incarnation, Age: time.Since(at), Parts: parts})
 	}
 }
@@ -124,24 +140,56 @@
 // the caller ended it.
 func (r *request) suspectCrash(endpoint clusterstate.Endpoint, phase string, err error) {
 	var timeout interface{ Timeout() bool }
-	parts := r.clientRequest.Inference.SharedParts
 	switch {
-	case len(parts) == 0, err == nil, r.ctx.Err() != nil, !time.Now().Before(r.deadline):
+	case err == nil, r.ctx.Err() != nil, !time.Now().Before(r.deadline):
 		return
 	case errors.As(err, &timeout) && timeout.Timeout(), errors.Is(err, connpool.ErrResponseMismatch):
 		return
 	}
+	parts := r.suspects()
+	if phase == phaseLate {
+		parts = []string{r.fingerprint}
+	}
 	g := r.gateway
 	g.metrics.suspectedCrashes.Inc()
 	g.Log.Emit(event.CrashSuspected, event.Fields{
-		"request": r.clientRequest.ID, "endpoint": endpoint.ID, "incarnation": endpoint.Incarnation, "phase": phase, "parts": parts, "fingerprint": r.fingerprint, "error": err.Error(),
+		"request": r.clientRequest.ID, "endpoint": endpoint.ID, "incarnation": endpoint.Incarnation, "phase": phase, "parts": parts, "error": err.Error(),
 	})
-	g.crashDetector.observe(g.tasks, endpoint, parts)
+	r.crashChecks = append(r.crashChecks, g.crashDetector.observe(g.tasks, endpoint, parts))
 }
 
-// recordAnswered records that an engine survived the request.
-func (r *request) recordAnswered() {
+// recordPartsAnswered records that an engine survived the prompt parts of the request.
+func (r *request) recordPartsAnswered() {
 	if parts := r.clientRequest.Inference.SharedParts; len(parts) > 0 {
 		r.gateway.quarantine.RecordAnswered(parts, time.Now())
 	}
 }
+
+// recordAnswered records that an endpoint survived the request.
+func (r *request) recordAnswered() {
+	r.gateway.quarantine.RecordAnswered([]string{r.fingerprint}, time.Now())
+}
+
+// maxCrashesPerRequest is the number of endpoints that may end under one request before this
+// gateway sends it to no other one.
+const maxCrashesPerRequest = 2
+
+// crashedTooMany reports whether so many endpoints ended under the request. It waits for the
+// checks of the endpoints whose connections broke if there are enough of them.
+func (r *request) crashedTooMany() bool {
+	if len(r.crashChecks) < maxCrashesPerRequest {
+		return false
+	}
+	ended := 0
+	for _, check := range r.crashChecks {
+		select {
+		case <-check.done:
+		case <-r.ctx.Done():
+			return true
+		}
+		if check.ended {
+			ended++
+		}
+	}
+	return ended >= maxCrashesPerRequest
+}
--- a/internal/gateway/fingerprint.go
+++ b/internal/gateway/fingerprint.go
@@ -6,11 +6,9 @@
 	"encoding/hex"
 
 	"github.com/mimosaward/mimosaward/internal/clientrequest"
+	"github.com/mimosaward/mimosaward/internal/quarantine"
 )
 
-// fingerprintPrefix begins every fingerprint. No ID of a prompt part contains a colon.
-const fingerprintPrefix = "request:"
-
 // fingerprintBytes is the length of the hash in a fingerprint.
 const fingerprintBytes = 16
 
@@ -26,5 +24,5 @@
 		_, _ = hash.Write([]byte(field))
 	}
 	_, _ = hash.Write(body)
-	return fingerprintPrefix + hex.EncodeToString(hash.Sum(nil)[:fingerprintBytes])
+	return quarantine.RequestPrefix + hex.EncodeToString(hash.Sum(nil)[:fingerprintBytes])
 }
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -10,7 +10,7 @@
 
 const reasonQuarantined = dispatch.Reason("promptQuarantined")
 
-// newQuarantine returns the quarantine of prompt parts, which logs its decisions.
+// newQuarantine returns the quarantine of requests and prompt parts, which logs its decisions.
 func (g *Gateway) newQuarantine() *quarantine.Quarantine {
 	return &quarantine.Quarantine{
 		Self: g.self.Name, Gateways: g.aliveGateways, OnRejected: g.logPartRejected,
@@ -40,13 +40,19 @@
 	})
 }
 
-// checkQuarantine returns a refusal if the request has a rejected prompt part. A request
-// that is a trial of such a part is sent once.
+// suspects returns what the request may have in common with others under which endpoints end:
+// its fingerprint and its shared prompt parts.
+func (r *request) suspects() []string {
+	return append([]string{r.fingerprint}, r.clientRequest.Inference.SharedParts...)
+}
+
+// checkQuarantine returns a refusal if the request or one of its prompt parts is rejected. A
+// request that is a trial is sent once.
 func (r *request) checkQuarantine(attempts int) *refusal {
 	if r.isTrial && attempts == 0 {
 		return nil
 	}
-	_, remaining, trial := r.gateway.quarantine.Rejected(r.clientRequest.Inference.SharedParts, time.Now())
+	_, remaining, trial := r.gateway.quarantine.Rejected(r.suspects(), time.Now())
 	if remaining > 0 {
 		return notExecuted(reasonQuarantined, remaining)
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -25,7 +25,9 @@
 	httpCtx       *fasthttp.RequestCtx
 	clientRequest clientrequest.Request
 	// fingerprint identifies what the request asks for.
-	fingerprint   string
+	fingerprint string
+	// crashChecks are the checks of the endpoints whose connections broke under the request.
+	crashChecks   []*crashCheck
 	configuration *configuration.Configuration
 	route         *configuration.Route
 	workspace     *configuration.Workspace
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -79,8 +79,8 @@
 	timeToFirst time.Duration
 	// firstEventAt is when the first event arrived.
 	firstEventAt time.Time
-	// answered is true once the engine is known to have survived the request.
-	answered bool
+	// partsAnswered is true once the engine is known to have survived the prompt parts.
+	partsAnswered bool
 }
 
 // accept takes the next event or the error that ended the stream.
@@ -89,11 +89,16 @@
 	early := time.Since(s.firstEventAt) <= earlyPhase
 	broken := err != nil && (!errors.Is(err, io.EOF) || !s.attempt.exchange.Framed())
 	switch {
-	case s.answered:
 	case broken && early:
 		s.request.suspectCrash(s.attempt.grant.Endpoint, phaseEarly, err)
-	case !broken && (err != nil || !early):
-		s.answered = true
+	case broken && !errors.Is(err, io.EOF):
+		// An unframed stream may be complete when its connection ends.
+		s.request.suspectCrash(s.attempt.grant.Endpoint, phaseLate, err)
+	case !broken && !s.partsAnswered && (err != nil || !early):
+		s.partsAnswered = true
+		s.request.recordPartsAnswered()
+	}
+	if err != nil && !broken {
 		s.request.recordAnswered()
 	}
 }
--- a/internal/quarantine/crash.go
+++ b/internal/quarantine/crash.go
@@ -6,13 +6,13 @@
 	"time"
 )
 
-// Crash is the end of an engine start while it processed requests.
+// Crash is the end of an endpoint start while it processed requests.
 type Crash struct {
 	Endpoint    string
 	Incarnation int64
 	// Age is the time since the crash.
 	Age time.Duration
-	// Parts are the suspected prompt parts. Cleared are those with which a request was
+	// Parts are the suspected prompt parts and fingerprints. Cleared are those with which a request was
 	// answered since.
 	Parts   []string
 	Cleared []string
@@ -20,7 +20,7 @@
 	Reporter string
 }
 
-// crashKey identifies an engine start.
+// crashKey identifies an endpoint start.
 type crashKey struct {
 	endpoint    string
 	incarnation int64
@@ -34,11 +34,20 @@
 	changedAt time.Time
 	reporter  string
 	parts     map[string]bool
+	// requests is the number of parts that are fingerprints.
+	requests int
 }
 
 // suspect adds a part and reports whether it was unknown.
 func (c *crash) suspect(part string) bool {
-	if _, known := c.parts[part]; known || len(c.parts) >= maxPartsPerCrash {
+	if _, known := c.parts[part]; known {
+		return false
+	}
+	switch {
+	case isRequest(part) && c.requests < maxRequestsPerCrash:
+		c.requests++
+	case !isRequest(part) && len(c.parts)-c.requests < maxPartsPerCrash:
+	default:
 		return false
 	}
 	c.parts[strings.Clone(part)] = false
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,6 +1,7 @@
-// Package quarantine decides which prompt parts crash the engines that answer them. It
-// collects crashes, which gateways share, and rejects a part once it was in requests at
-// several engine starts that ended, while no request with it was answered. It does no I/O.
+// Package quarantine decides which requests and prompt parts crash the endpoints that answer
+// them. It collects crashes, which gateways share, and rejects a part once it was in requests at
+// several endpoint starts that ended, while no request with it was answered. The fingerprint of a
+// request is a part that only equal requests have. The package does no I/O.
 package quarantine
 
 import (
@@ -11,7 +12,7 @@
 )
 
 const (
-	// minCrashes is the number of engine starts that must have ended with a part before
+	// minCrashes is the number of endpoint starts that must have ended with a part before
 	// the part is rejected.
 	minCrashes = 3
 	// crashSpacing is the least time between two crashes that both count: engines that end
@@ -25,8 +26,10 @@
 	// maxCrashes and maxRejections limit the memory; the oldest ones are dropped first.
 	maxCrashes    = 256
 	maxRejections = 1024
-	// maxPartsPerCrash limits the parts of a crash, which come from several requests.
-	maxPartsPerCrash = 96
+	// maxPartsPerCrash limits the prompt parts of a crash, which come from several requests, and
+	// maxRequestsPerCrash the fingerprints.
+	maxPartsPerCrash    = 96
+	maxRequestsPerCrash = 96
 )
 
 // Quarantine holds the crashes and rejections known to a gateway. Set the exported fields
@@ -47,7 +50,10 @@
 	mu         sync.Mutex
 	crashes    map[crashKey]*crash
 	rejections map[string]*rejection
-	answered   answerTimes
+	// answeredParts and answeredRequests are separate, since each request has a fingerprint of
+	// its own, so that these displace the ones before much faster.
+	answeredParts    answerTimes
+	answeredRequests answerTimes
 	// decideAt is when a decision may change next; zero if none is pending.
 	decideAt time.Time
 	// cellNews is closed when something is learned that the local cell may not know yet,
@@ -68,8 +74,9 @@
 	By      string
 }
 
-// RecordCrash records that an engine ended while it processed a request, before or soon
-// after its first event. The parts are those that the request shared with others.
+// RecordCrash records that an endpoint ended while it processed requests. The parts are the
+// fingerprints of these requests, and the prompt parts that they shared with others if it ended
+// before or soon after their first events.
 func (q *Quarantine) RecordCrash(recorded Crash, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -80,14 +87,14 @@
 	q.decide(now)
 }
 
-// RecordAnswered records that an engine survived a request with the parts. They are no
+// RecordAnswered records that an endpoint survived a request with the parts. They are no
 // longer suspected of the crashes so far, and their rejections end.
 func (q *Quarantine) RecordAnswered(parts []string, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	changed := false
 	for _, part := range parts {
-		q.answered.record(part, now)
+		q.answers(part).record(part, now)
 		for _, known := range q.crashes {
 			if known.clear(part) {
 				known.changedAt, changed = now, true
@@ -103,6 +110,14 @@
 	}
 }
 
+// answers returns when requests with parts of the same kind were answered.
+func (q *Quarantine) answers(part string) *answerTimes {
+	if isRequest(part) {
+		return &q.answeredRequests
+	}
+	return &q.answeredParts
+}
+
 // Rejected returns the first of the parts that is rejected and the time until the rejection
 // ends, or an empty string. If a rejection has ended and this gateway may send a single
 // request with the part, trial is true.
@@ -208,7 +223,7 @@
 	}
 	for _, part := range added.Parts {
 		changed = known.suspect(part) || changed
-		if !q.answered.last(part).Before(known.at) {
+		if !q.answers(part).last(part).Before(known.at) {
 			known.clear(part)
 		}
 		q.renew(part, known.at, now)
@@ -252,7 +267,9 @@
 }
 
 // rejectMostSuspected rejects the parts with the most crashes, if these are enough. Crashes
-// with a rejected part are explained by it and do not count for others.
+// with a rejected part are explained by it and do not count for others. If a fingerprint is in as
+// many crashes as a prompt part, only the fingerprint is rejected, since sound requests may have
+// the prompt part.
 func (q *Quarantine) rejectMostSuspected(now time.Time) bool {
 	q.decideAt = time.Time{}
 	crashesByPart := map[string][]Crash{}
@@ -281,9 +298,13 @@
 		crashesByPart[part] = spaced(crashes)
 		most = max(most, len(crashesByPart[part]))
 	}
+	requestOnly := false
+	for part, crashes := range crashesByPart {
+		requestOnly = requestOnly || (len(crashes) >= most && isRequest(part))
+	}
 	rejected := false
 	for part, crashes := range crashesByPart {
-		if len(crashes) >= most {
+		if len(crashes) >= most && (isRequest(part) || !requestOnly) {
 			rejected = true
 			q.reject(part, q.nextStrikes(part), now, Decision{Crashes: crashes, By: q.Self})
 			q.notify(true)
