quarantine: count crashes of one request from 40 ms apart

A gateway sends an idempotent request again as soon as its worker ended, and the next worker ends 70 to 120 ms later.

Crashes with one fingerprint now count from 40 ms apart. Engines that end in a power failure do so within the latency of the network. The new case of TestRejectedRequests failed before.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -18,6 +18,9 @@
 	// crashSpacing is the least time between two crashes that both count: engines that end
 	// at the same moment have a common cause, such as a power failure.
 	crashSpacing = 100 * time.Millisecond
+	// requestSpacing is the same for fingerprints. A gateway sends a request again as soon as its
+	// endpoint has ended, and the next one ends shortly afterwards.
+	requestSpacing = 40 * time.Millisecond
 	// settleTime is the age from which a crash counts. By then, gateways have learned
 	// of requests that were answered meanwhile.
 	settleTime = 700 * time.Millisecond
@@ -295,7 +298,11 @@
 	}
 	most := minCrashes
 	for part, crashes := range crashesByPart {
-		crashesByPart[part] = spaced(crashes)
+		spacing := crashSpacing
+		if isRequest(part) {
+			spacing = requestSpacing
+		}
+		crashesByPart[part] = spaced(crashes, spacing)
 		most = max(most, len(crashesByPart[part]))
 	}
 	requestOnly := false
@@ -314,12 +321,12 @@
 }
 
 // spaced orders crashes by their age, the oldest first, and drops those that follow another
-// one within crashSpacing.
-func spaced(crashes []Crash) []Crash {
+// one within the spacing.
+func spaced(crashes []Crash, spacing time.Duration) []Crash {
 	slices.SortFunc(crashes, func(a, b Crash) int { return cmp.Compare(b.Age, a.Age) })
 	var kept []Crash
 	for _, next := range crashes {
-		if len(kept) == 0 || kept[len(kept)-1].Age-next.Age >= crashSpacing {
+		if len(kept) == 0 || kept[len(kept)-1].Age-next.Age >= spacing {
 			kept = append(kept, next)
 		}
 	}
--- a/internal/quarantine/request_test.go
+++ b/internal/quarantine/request_test.go
@@ -58,6 +58,12 @@
 				c.advance(time.Second)
 			}
 		}, []string{request("deadly")}},
+		"attempts of one gateway, each right after the other": {func(q *quarantine.Quarantine, c *clock) {
+			for engine := range 3 {
+				q.RecordCrash(crashOf(engine, request("deadly")), c.now)
+				c.advance(60 * time.Millisecond)
+			}
+		}, []string{request("deadly")}},
 		"all endpoints at one moment": {func(q *quarantine.Quarantine, c *clock) {
 			for engine := range 20 {
 				q.RecordCrash(crashOf(engine, request("hot")), c.now)
@@ -123,3 +129,17 @@
 		t.Errorf("rejected requests and parts (-want +got):\n%s", diff)
 	}
 }
+
+func BenchmarkRecordAnswered(b *testing.B) {
+	for _, crashes := range []int{0, 5, 256} {
+		b.Run(fmt.Sprint(crashes, " crashes"), func(b *testing.B) {
+			q, c := newQuarantine("gateway-0"), newClock()
+			for engine := range crashes {
+				q.RecordCrash(crashOf(engine, request("deadly"), request(engine)), c.now)
+			}
+			for index := 0; b.Loop(); index++ {
+				q.RecordAnswered([]string{request(index)}, c.now)
+			}
+		})
+	}
+}
