--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -24,6 +24,10 @@
 	gateway       *Gateway
 	httpCtx       *fasthttp.RequestCtx
 	clientRequest clientrequest.Request
+	// fingerprint identifies what the request asks for.
+	fingerprint string
+	// crashChecks are the checks of the endpoints whose connections broke under the request.
+	crashChecks   []*crashCheck
 	configuration *configuration.Configuration
 	route         *configuration.Route
 	workspace     *configuration.Workspace
@@ -108,6 +112,7 @@
 		gateway: g, httpCtx: c, clientRequest: platform.ParseRequestHeader(&c.Request.Header), arrived: time.Now(), conn: c.Conn(),
 		configuration: g.configuration(),
 	}
+	r.fingerprint = fingerprint(&r.clientRequest, c.Request.Body())
 	r.ctx, r.cancel = context.WithCancelCause(context.Background())
 	g.requests.add(r)
 	return r
