cli: test metrics of a draining daemon without a time limit of its own

What was seen: TestMetricsWhileDraining failed in 2 of 27 runs on a machine with a load of 49; the message was not kept. Cause, by reading: the daemon drained for 500 ms, in which it had to begin to listen and the test to fetch the metrics once, 100 ms after the stop. Change: the daemon drains until its input ends, which the test causes once it has the metrics. It checks the same: metrics are served while the daemon drains, and it exits then.

--- a/internal/cli/platformdaemon_test.go
+++ b/internal/cli/platformdaemon_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -14,6 +15,8 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/mimosaward/mimosaward/internal/cli"
 	"github.com/mimosaward/mimosaward/internal/deployment"
 	"github.com/mimosaward/mimosaward/internal/event"
@@ -27,6 +30,9 @@
 // metricsPortOfDaemon is the environment variable with the port of the daemon's metrics.
 const metricsPortOfDaemon = "DAEMON_TEST_METRICS_PORT"
 
+// holdOfDaemon is the environment variable that makes the daemon drain until its input ends.
+const holdOfDaemon = "DAEMON_TEST_HOLD"
+
 // drainTime is how long the daemon drains. It only has to exceed the time in which the
 // process handles a signal.
 const drainTime = 500 * time.Millisecond
@@ -70,6 +76,10 @@
 	default:
 	}
 	fmt.Fprintln(os.Stderr, "draining")
+	if os.Getenv(holdOfDaemon) != "" {
+		_, err := io.Copy(io.Discard, os.Stdin)
+		return err
+	}
 	time.Sleep(drainTime)
 	return nil
 }
@@ -273,17 +283,32 @@
 func TestMetricsWhileDraining(t *testing.T) {
 	settings := filepath.Join(t.TempDir(), "instance.toml")
 	copySettings(t, settings)
-	daemon := startDaemon(t, settings, discardLog)
+	var hold io.WriteCloser
+	daemon := startDaemon(t, settings, func(command *exec.Cmd) {
+		discardLog(command)
+		command.Env = append(command.Env, holdOfDaemon+"=1")
+		var err error
+		if hold, err = command.StdinPipe(); err != nil {
+			t.Fatal(err)
+		}
+	})
 	daemon.requireLine("running")
 	daemon.signal(syscall.SIGTERM)
 	daemon.requireLine("draining")
-	time.Sleep(drainTime / 5)
-	response, err := http.Get(daemon.metricsURL)
+	// The daemon may not listen yet, but it drains until its input ends.
+	var response *http.Response
+	err := errors.New("not requested")
+	for start := time.Now(); err != nil && time.Since(start) < 10*drainTime; time.Sleep(drainTime / 20) {
+		response, err = http.Get(daemon.metricsURL)
+	}
 	if err != nil {
 		t.Errorf("get the metrics: %v", err)
 	} else if err := response.Body.Close(); err != nil || response.StatusCode != http.StatusOK {
 		t.Errorf("metrics have status %d, error %v", response.StatusCode, err)
 	}
+	if err := hold.Close(); err != nil {
+		t.Error(err)
+	}
 	daemon.requireExit()
 }
 
