informer: continue a list after the last object that has a name

Callers would see: a process that listed endpoints with an object without a name at the end of a page began the list anew without a pause, without end, and never became ready; all its calls to the store counted.

Cause: the next page was requested after the name of the last object, which was empty.

The next page follows the last object that has a name. A page without one fails the list, so that it is repeated with the usual backoff.

--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -207,9 +207,12 @@
 		if err != nil {
 			return err
 		}
+		last := after
 		for _, object := range page.Objects {
 			objects[object.Name] = object
-			after = object.Name
+			if object.Name != "" {
+				last = object.Name
+			}
 		}
 		// Watching from the revision of the first page covers changes made between
 		// pages.
@@ -222,6 +225,10 @@
 		if !page.HasMore || len(page.Objects) == 0 {
 			break
 		}
+		if last == after {
+			return errors.Mark(errors.Newf("no object of the page after %q has another name", after), ErrUnavailable)
+		}
+		after = last
 	}
 	i.recordAvailable()
 	i.mu.Lock()
--- a/internal/informer/informer_test.go
+++ b/internal/informer/informer_test.go
@@ -242,3 +242,69 @@
 		group.Wait()
 	})
 }
+
+// Guards against a list that begins anew without end, or ends early, because the last object of
+// a page has no name.
+func TestObjectWithoutNameAtEndOfPage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		calls := 0
+		inf := &informer.Informer{
+			Kind: "servers", OnChange: func(informer.Snapshot) {},
+			List: func(_ context.Context, _, after string) (informer.Page, error) {
+				calls++
+				switch {
+				case calls > 1000:
+					return informer.Page{}, informer.ErrUnavailable
+				case after == "":
+					return informer.Page{Objects: []informer.Object{{Name: "a", Revision: 1}, {Revision: 2}}, Revision: 9, HasMore: true}, nil
+				case after == "a":
+					return informer.Page{Objects: []informer.Object{{Name: "b", Revision: 3}}, Revision: 9}, nil
+				}
+				t.Errorf("unexpected page after %q", after)
+				return informer.Page{}, nil
+			},
+			Watch: func(ctx context.Context, _ string, _ int64) (informer.Batch, error) {
+				<-ctx.Done()
+				return informer.Batch{}, ctx.Err()
+			},
+		}
+		group := concurrency.NewGroup(t.Context())
+		defer group.Wait()
+		defer group.Stop()
+		group.Go(inf.Run)
+		time.Sleep(10 * time.Second)
+		snapshot, synced := inf.Snapshot()
+		if _, exists := snapshot.Objects["b"]; !synced || !exists || calls != 2 {
+			t.Errorf("%d calls, copy %v of %v, want 2 calls and the objects of both pages", calls, synced, snapshot.Objects)
+		}
+	})
+}
+
+// Guards against a list without end if no page continues after the previous one.
+func TestPagesThatDoNotAdvance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		calls, unavailable := 0, 0
+		inf := &informer.Informer{
+			Kind: "servers", OnChange: func(informer.Snapshot) {},
+			List: func(ctx context.Context, _, _ string) (informer.Page, error) {
+				if calls++; calls > 1000 {
+					return informer.Page{}, informer.ErrUnavailable
+				}
+				return informer.Page{Objects: []informer.Object{{Revision: 2}}, Revision: 9, HasMore: true}, ctx.Err()
+			},
+			OnAvailability: func(available bool, _ error) {
+				if !available {
+					unavailable++
+				}
+			},
+		}
+		group := concurrency.NewGroup(t.Context())
+		defer group.Wait()
+		defer group.Stop()
+		group.Go(inf.Run)
+		time.Sleep(10 * time.Second)
+		if _, synced := inf.Snapshot(); synced || calls > 50 || unavailable != 1 {
+			t.Errorf("%d calls in 10 s, copy %v, reported %d times, want 50 at most, none and 1", calls, synced, unavailable)
+		}
+	})
+}
