platform: only the object named after a model requests its version

Callers would see: while a second object of another writer requested a version of a model too, loaders that read the store themselves did not bring their engines to the version that the operators requested, and gateways wrote the history of that object again and again.

Cause: of two objects with the same model, the one that a map returned last counted.

--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -37,7 +37,7 @@
 func (g *Gateway) maintainHistory(ctx context.Context) {
 	for concurrency.Tick(ctx, historyInterval) {
 		for name, object := range g.observer.RolloutObjects() {
-			model, version, err := platform.DecodeRollout(object.Value)
+			model, version, err := platform.DecodeRollout(object.Name, object.Value)
 			if err != nil {
 				// The observer has already logged the error.
 				continue
--- a/internal/storewatch/apply.go
+++ b/internal/storewatch/apply.go
@@ -67,7 +67,7 @@
 func (o *Observer) applyRollouts(snapshot informer.Snapshot) {
 	versions := map[string]int64{}
 	for _, object := range snapshot.Objects {
-		model, version, err := platform.DecodeRollout(object.Value)
+		model, version, err := platform.DecodeRollout(object.Name, object.Value)
 		if err != nil {
 			o.logUnreadable(platform.KindRollouts, object, err)
 			continue
--- a/internal/storewatch/sequence.go
+++ b/internal/storewatch/sequence.go
@@ -19,6 +19,6 @@
 
 // rolloutSequence orders the requests for versions of a model by the version.
 func rolloutSequence(object informer.Object) (informer.Sequence, bool) {
-	_, version, err := platform.DecodeRollout(object.Value)
+	_, version, err := platform.DecodeRollout(object.Name, object.Value)
 	return informer.Sequence{Number: version}, err == nil
 }
