storewatch: an odd entry takes no endpoint's place and no process's address

Callers would see: (1) an entry that names an unknown service and the address of an endpoint, but a later start, removed that endpoint; (2) requests to an entry with the address of a gateway, of the store or of the origin ended with 401, 502 or 503.

Cause: of the entries at one address, the newest counted before its service was looked up; the addresses of the system's other processes were endpoints like any other.

Entries of services that the configuration does not have are left out before entries are compared, and the endpoints are derived again when the configuration changes. The addresses of the store, the origin, the own listeners, the seeds and the gateways that are alive are no endpoints.

A second entry of a known service at an endpoint's address is not distinguishable from a restart of the endpoint: the newest start counts, as before.

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -48,6 +48,16 @@
 	}
 }
 
+// reservedAddress reports whether an address belongs to the object store or to a gateway.
+func (g *Gateway) reservedAddress(address string) bool {
+	listen := g.Deployment.Listen
+	own := []string{g.Deployment.Store.Address, listen.Clients, listen.Control, listen.Readiness, listen.Directory}
+	return slices.Contains(own, address) || slices.Contains(g.Deployment.Seeds, address) ||
+		slices.ContainsFunc(g.peerTable.Alive(), func(peer peering.Peer) bool {
+			return peer.Digest.Member.Callers == address || peer.Digest.Member.Control == address
+		})
+}
+
 // register writes the gateway's member record into the object store, and again whenever the
 // store has lost it, until ctx is done.
 func (g *Gateway) register(ctx context.Context) {
--- a/internal/storewatch/apply.go
+++ b/internal/storewatch/apply.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/mimosaward/mimosaward/internal/clusterstate"
 	"github.com/mimosaward/mimosaward/internal/event"
 	"github.com/mimosaward/mimosaward/internal/informer"
@@ -22,10 +24,18 @@
 	}
 	if o.configuration.StoreIfNewer(config) {
 		o.Log.Emit(event.ConfigurationApplied, event.Fields{"version": config.Version(), "revision": object.Revision})
+		o.applyEndpoints()
 	}
 }
 
-func (o *Observer) applyEndpoints(snapshot informer.Snapshot) {
+// applyEndpoints derives the endpoints from their entries and the configuration.
+func (o *Observer) applyEndpoints() {
+	o.endpointsMu.Lock()
+	defer o.endpointsMu.Unlock()
+	snapshot, synced := o.endpoints.Snapshot()
+	if !synced {
+		return
+	}
 	endpoints := make([]clusterstate.Endpoint, 0, len(snapshot.Objects))
 	for _, object := range snapshot.Objects {
 		endpoint, err := platform.DecodeEndpoint(object.Name, object.Value, o.Regions, o.layers)
@@ -33,11 +43,38 @@
 			o.logUnreadable(platform.KindEndpoints, object, err)
 			continue
 		}
-		endpoints = append(endpoints, endpoint)
+		if o.reserved(endpoint.Address) {
+			o.logUnreadable(platform.KindEndpoints, object, errors.Newf("%s is the address of another process", endpoint.Address))
+			continue
+		}
+		if o.configured(endpoint.Service) {
+			endpoints = append(endpoints, endpoint)
+		}
 	}
 	o.clusterState.SetEndpoints(endpoints, snapshot.Position())
 }
 
+// reserved reports whether an address belongs to a process other than an endpoint.
+func (o *Observer) reserved(address string) bool {
+	if current := o.configuration.Current(); current != nil {
+		if origin, exists := current.Origin(); exists && origin.Address == address {
+			return true
+		}
+	}
+	return o.Reserved != nil && o.Reserved(address)
+}
+
+// configured reports whether the configuration has a service. Before the first configuration,
+// any service may be in it.
+func (o *Observer) configured(service string) bool {
+	current := o.configuration.Current()
+	if current == nil {
+		return true
+	}
+	_, exists := current.Service(service)
+	return exists
+}
+
 // layers returns the number of layers of a service's model, or 0 if it is unknown.
 func (o *Observer) layers(service string) int {
 	if current := o.configuration.Current(); current != nil {
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -43,6 +43,9 @@
 	// Reads reports whether this process reads the object API itself instead of receiving
 	// copies from others; nil means that it does.
 	Reads func() bool
+	// Reserved reports whether an address belongs to a process other than an endpoint; nil means
+	// that none does.
+	Reserved func(address string) bool
 	// Regions maps each availability zone to its region.
 	Regions map[string]string
 	Log     *event.Logger
@@ -51,6 +54,9 @@
 	clusterState  *clusterstate.Store
 	rollouts      Rollouts
 	informers     []*informer.Informer
+	endpoints     *informer.Informer
+	// endpointsMu serializes updates of the endpoints.
+	endpointsMu sync.Mutex
 
 	mu      sync.Mutex
 	changed chan struct{}
@@ -65,7 +71,8 @@
 	o.changed = make(chan struct{})
 	o.reportedUnreadable = map[string]informer.Position{}
 	o.AddInformer(platform.KindConfiguration, coalesceDelay, o.applyConfiguration).Sequence = configurationSequence
-	o.AddInformer(platform.KindEndpoints, endpointCoalesceDelay, o.applyEndpoints).Sequence = endpointSequence
+	o.endpoints = o.AddInformer(platform.KindEndpoints, endpointCoalesceDelay, func(informer.Snapshot) { o.applyEndpoints() })
+	o.endpoints.Sequence = endpointSequence
 	o.AddInformer(platform.KindEvacuations, coalesceDelay, o.applyEvacuations)
 	o.AddInformer(platform.KindRollouts, coalesceDelay, o.applyRollouts).Sequence = rolloutSequence
 	for _, inf := range o.informers {
