storewatch: bound the record of an entry that cannot be decoded

Operators would see: records of up to 1.6 MB, one for each change of an entry with a number, an address or a name of 900,000 bytes.

The name and the cause of the record are cut off at 256 bytes.

Before: TestUnreadableEntryIsLoggedOncePerChange "a record has 900299 bytes, want 2048 at most", 1600224 for the name.

--- a/internal/storewatch/apply.go
+++ b/internal/storewatch/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -150,6 +151,9 @@
 // Rollouts returns the times at which model versions became known.
 func (o *Observer) Rollouts() *Rollouts { return &o.rollouts }
 
+// maxLoggedBytes bounds the texts of other writers in a record.
+const maxLoggedBytes = 256
+
 // logUnreadable logs an object that cannot be decoded, once per change.
 func (o *Observer) logUnreadable(kind string, object informer.Object, cause error) {
 	key := kind + "/" + object.Name
@@ -159,6 +163,11 @@
 	o.reportedUnreadable[key] = position
 	o.mu.Unlock()
 	if !reported {
-		o.Log.Emit(event.ObjectUnreadable, event.Fields{"object": key, "revision": object.Revision, "error": cause.Error()})
+		o.Log.Emit(event.ObjectUnreadable, event.Fields{"object": bounded(key), "revision": object.Revision, "error": bounded(cause.Error())})
 	}
 }
+
+// bounded returns the start of a text in valid UTF-8.
+func bounded(text string) string {
+	return strings.ToValidUTF8(text[:min(len(text), maxLoggedBytes)], "")
+}
--- a/internal/storewatch/endpoints_test.go
+++ b/internal/storewatch/endpoints_test.go
@@ -157,3 +157,38 @@
 		}
 	})
 }
+
+// Guards against records of a megabyte, and against a record at each change of another entry.
+func TestUnreadableEntryIsLoggedOncePerChange(t *testing.T) {
+	const maxRecordBytes = 2048
+	for what, odd := range map[string]struct{ name, value string }{
+		"long number":  {"odd", `{"service":"booking","address":"10.0.0.4:90","zone":"zone-0","slots":` + strings.Repeat("9", 900_000) + `,"state":"ready"}`},
+		"long address": {"odd", endpointEntry("booking", strings.Repeat("1", 900_000), 1)},
+		"long name":    {strings.Repeat("\u00e9", 400_000), endpointEntry("booking", "10.0.0.4:90", 1)},
+		"deep nesting": {"odd", `{"slots":` + strings.Repeat("[", 9000) + strings.Repeat("]", 9000) + "}"},
+		"no value":     {"odd", ""},
+	} {
+		withObserver(t, func(store *objectStore, observer *storewatch.Observer, log *bytes.Buffer) {
+			store.put(platform.KindConfiguration, platform.ConfigurationName, configurationWith(1, "booking"))
+			store.put(platform.KindEndpoints, odd.name, odd.value)
+			for number := range 5 {
+				time.Sleep(5 * time.Second)
+				store.put(platform.KindEndpoints, "a", endpointEntry("booking", "10.0.0.3:90", int64(number+1)))
+			}
+			time.Sleep(5 * time.Second)
+			store.put(platform.KindEndpoints, odd.name, odd.value)
+			time.Sleep(5 * time.Second)
+			if diff := cmp.Diff([]string{"a"}, endpointIDs(observer, "booking")); diff != "" {
+				t.Errorf("%s: endpoints (-want +got):\n%s", what, diff)
+			}
+			if count := strings.Count(log.String(), "cannot be decoded"); count != 2 {
+				t.Errorf("%s: logged %d times, want 2", what, count)
+			}
+			for line := range strings.Lines(log.String()) {
+				if len(line) > maxRecordBytes {
+					t.Errorf("%s: a record has %d bytes, want %d at most", what, len(line), maxRecordBytes)
+				}
+			}
+		})
+	}
+}
