gateway: reject records that name another gateway or no valid address

Callers would see: an object of another writer with the name of a gateway in its value and a higher incarnation replaced that gateway's record, so the other gateways called the wrong address; records with port 0 or 99999 were called for a minute. Records that could not be decoded were logged at each change of any record.

A record must be in the object with the gateway's name and have a control address that a gateway can listen on. Unreadable ones are logged once per change, with bounded texts.

The integration test now also requires 404 for a route that does not exist.

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -38,16 +39,34 @@
 
 // applyMembers adds the gateways registered in the object store to the peer table.
 func (g *Gateway) applyMembers(snapshot informer.Snapshot) {
-	for name, object := range snapshot.Objects {
-		var member peering.Member
-		if err := json.Unmarshal(object.Value, &member); err != nil {
-			g.Log.Emit(event.ObjectUnreadable, event.Fields{"object": gatewayKind + "/" + name, "error": err.Error()})
+	for _, object := range snapshot.Objects {
+		member, err := decodeMember(object)
+		if err != nil {
+			g.observer.LogUnreadable(gatewayKind, object, err)
 			continue
 		}
 		g.peerTable.AddMember(member)
 	}
 }
 
+// decodeMember decodes the record of a gateway, which has the gateway's name.
+func decodeMember(object informer.Object) (peering.Member, error) {
+	var member peering.Member
+	if err := json.Unmarshal(object.Value, &member); err != nil {
+		return member, errors.Wrap(err, "decode the record of a gateway")
+	}
+	control, err := netip.ParseAddrPort(member.Control)
+	switch {
+	case member.Name == "" || member.Name != object.Name:
+		return member, errors.Newf("the record names another gateway, %q", member.Name)
+	case err != nil || control.Port() == 0:
+		return member, errors.Newf("the record has the invalid control address %q", member.Control)
+	case member.Incarnation < 0:
+		return member, errors.Newf("the record has the negative incarnation %d", member.Incarnation)
+	}
+	return member, nil
+}
+
 // reservedAddress reports whether an address belongs to the object store or to a gateway.
 func (g *Gateway) reservedAddress(address string) bool {
 	listen := g.Deployment.Listen
--- a/internal/integration/oddentry_test.go
+++ b/internal/integration/oddentry_test.go
@@ -76,6 +76,7 @@
 	for range 20 {
 		i.requireServed(what, path, true, 0, 1, 2)
 	}
+	i.requireServed(what, "/never-configured/1", false, 0, 1, 2)
 	if i.endpoints["booking-2-0"].Arrivals() != evacuated {
 		i.t.Errorf("%s: requests were sent to the availability zone that is out of service", what)
 	}
--- a/internal/storewatch/apply.go
+++ b/internal/storewatch/apply.go
@@ -20,7 +20,7 @@
 	}
 	config, err := platform.DecodeConfiguration(object.Value)
 	if err != nil {
-		o.logUnreadable(platform.KindConfiguration, object, err)
+		o.LogUnreadable(platform.KindConfiguration, object, err)
 		return
 	}
 	if o.configuration.StoreIfNewer(config) {
@@ -41,11 +41,11 @@
 	for _, object := range snapshot.Objects {
 		endpoint, err := platform.DecodeEndpoint(object.Name, object.Value, o.Regions, o.layers)
 		if err != nil {
-			o.logUnreadable(platform.KindEndpoints, object, err)
+			o.LogUnreadable(platform.KindEndpoints, object, err)
 			continue
 		}
 		if o.reserved(endpoint.Address) {
-			o.logUnreadable(platform.KindEndpoints, object, errors.Newf("%s is the address of another process", endpoint.Address))
+			o.LogUnreadable(platform.KindEndpoints, object, errors.Newf("%s is the address of another process", endpoint.Address))
 			continue
 		}
 		if o.configured(endpoint.Service) {
@@ -107,7 +107,7 @@
 	for _, object := range snapshot.Objects {
 		model, version, err := platform.DecodeRollout(object.Name, object.Value)
 		if err != nil {
-			o.logUnreadable(platform.KindRollouts, object, err)
+			o.LogUnreadable(platform.KindRollouts, object, err)
 			continue
 		}
 		versions[model] = version
@@ -134,7 +134,7 @@
 	}
 	var history []VersionRecord
 	if err := json.Unmarshal(object.Status, &history); err != nil {
-		o.logUnreadable(platform.KindRollouts+" status", object, err)
+		o.LogUnreadable(platform.KindRollouts+" status", object, err)
 		return
 	}
 	for _, record := range history {
@@ -154,8 +154,8 @@
 // maxLoggedBytes bounds the texts of other writers in a record.
 const maxLoggedBytes = 256
 
-// logUnreadable logs an object that cannot be decoded, once per change.
-func (o *Observer) logUnreadable(kind string, object informer.Object, cause error) {
+// LogUnreadable logs an object that cannot be decoded, once per change.
+func (o *Observer) LogUnreadable(kind string, object informer.Object, cause error) {
 	key := kind + "/" + object.Name
 	o.mu.Lock()
 	position := informer.Position{Era: object.Era, Revision: object.Revision}
