topology: compare layouts of members in different orders

TestSameMembersGiveSameSources compared the layouts of two equal lists, so its promise for equal members was not tested. It now shuffles the list five times and passes: the code had no fault here.

--- a/internal/topology/layout_test.go
+++ b/internal/topology/layout_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/mimosaward/mimosaward/internal/membership"
@@ -82,16 +84,20 @@
 	t.Fatalf("route of chunk %d does not reach the origin, last instance %s", chunk, name)
 }
 
-// Layouts that are computed from equal member lists must give the same preferred
+// Layouts that are computed from the same members in any order must give the same preferred
 // sources.
 func TestSameMembersGiveSameSources(t *testing.T) {
 	list := members(440, 4)
 	self := list[5]
 	layout := topology.NewLayout("set", self, list, "region-0", 8)
-	recomputed := topology.NewLayout("set", self, append([]membership.Instance{}, list...), "region-0", 8)
-	for chunk := range 100 {
-		if layout.Sources(chunk)[0].Name() != recomputed.Sources(chunk)[0].Name() {
-			t.Fatal("the same member list gives different sources")
+	for range 5 {
+		shuffled := slices.Clone(list)
+		rand.Shuffle(len(shuffled), func(a, b int) { shuffled[a], shuffled[b] = shuffled[b], shuffled[a] })
+		recomputed := topology.NewLayout("set", self, shuffled, "region-0", 8)
+		for chunk := range 100 {
+			if layout.Sources(chunk)[0].Name() != recomputed.Sources(chunk)[0].Name() {
+				t.Fatalf("the same members in another order give other sources of chunk %d", chunk)
+			}
 		}
 	}
 }
