informer: leave values out of the copy that exceed the size of an entry

Callers would see: 18 or more entries of other writers with almost 1 MiB each made the copy of their kind larger than a call between gateways may be, 16 MiB, so a gateway that does not read the store, or cannot reach it, followed no change of the kind.

Values and statuses above 16 KiB are left out of the copies of all kinds but the configuration; their entries then count as unreadable.

Before: TestLargeEntriesAreLeftOutOfCopies "the copy of kind servers has bytes, want 1048576 at most", the same for evacuations and versions.

--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -42,6 +42,9 @@
 	// Sequence returns the order of an object's content among its states, and false if it has
 	// none. A nil Sequence means that no object has one.
 	Sequence func(Object) (Sequence, bool)
+	// MaxValueBytes is the size above which values and statuses are left out of the copy, which
+	// has to fit into a call; 0 means no limit.
+	MaxValueBytes int
 	// RetainTime is how long objects stay in the copy that the store lost when it returned from
 	// an older copy of itself, because their writers write them again.
 	RetainTime time.Duration
@@ -209,7 +212,7 @@
 		}
 		last := after
 		for _, object := range page.Objects {
-			objects[object.Name] = object
+			objects[object.Name] = i.limited(object)
 			if object.Name != "" {
 				last = object.Name
 			}
@@ -280,7 +283,7 @@
 			i.bury(change.Object, batch.Era, now)
 			continue
 		default:
-			objects[change.Object.Name] = change.Object
+			objects[change.Object.Name] = i.limited(change.Object)
 			delete(i.retainUntil, change.Object.Name)
 			delete(i.tombstones, change.Object.Name)
 		}
--- a/internal/informer/object.go
+++ b/internal/informer/object.go
@@ -58,3 +58,14 @@
 	Era      int64
 	Revision int64
 }
+
+// limited returns the object without a value and a status that exceed MaxValueBytes.
+func (i *Informer) limited(object Object) Object {
+	if i.MaxValueBytes > 0 && len(object.Value) > i.MaxValueBytes {
+		object.Value = nil
+	}
+	if i.MaxValueBytes > 0 && len(object.Status) > i.MaxValueBytes {
+		object.Status = nil
+	}
+	return object
+}
--- a/internal/storewatch/endpoints_test.go
+++ b/internal/storewatch/endpoints_test.go
@@ -192,3 +192,32 @@
 		})
 	}
 }
+
+// Guards against a copy that exceeds the size of a call between gateways because of what other
+// writers left, so that no gateway receives it from another.
+func TestLargeEntriesAreLeftOutOfCopies(t *testing.T) {
+	withObserver(t, func(store *objectStore, observer *storewatch.Observer, _ *bytes.Buffer) {
+		large := fmt.Sprintf(`{"version":1,"services":[{"name":"booking"}],"other":%q}`, strings.Repeat("x", 900_000))
+		store.put(platform.KindConfiguration, platform.ConfigurationName, large)
+		store.put(platform.KindEndpoints, "a", endpointEntry("booking", "10.0.0.3:90", 1))
+		for number := range 40 {
+			for _, kind := range []string{platform.KindEndpoints, platform.KindEvacuations, platform.KindRollouts} {
+				store.put(kind, fmt.Sprintf("odd%d", number), fmt.Sprintf("%q", strings.Repeat("x", 900_000)))
+			}
+		}
+		time.Sleep(5 * time.Second)
+		if diff := cmp.Diff([]string{"a"}, endpointIDs(observer, "booking")); diff != "" {
+			t.Errorf("endpoints (-want +got):\n%s", diff)
+		}
+		for _, inf := range observer.Informers() {
+			delta, _ := inf.Delta(informer.Position{})
+			size := 0
+			for _, object := range delta.Objects {
+				size += len(object.Value) + len(object.Status)
+			}
+			if size > 1<<20 {
+				t.Errorf("the copy of kind %s has %d bytes, want %d at most", inf.Kind, size, 1<<20)
+			}
+		}
+	})
+}
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -31,6 +31,9 @@
 	// endpointRetainTime is how long endpoints count as alive that a store lost which returned
 	// from an older copy: they write their entries again within about two seconds.
 	endpointRetainTime = 2 * time.Second
+	// maxEntryBytes is the size above which an entry is ignored. Entries of endpoints have a few
+	// hundred bytes.
+	maxEntryBytes = 16 << 10
 	// operatorRetainTime is the same for what operators write.
 	operatorRetainTime = 10 * time.Second
 )
@@ -77,6 +80,9 @@
 	o.AddInformer(platform.KindRollouts, coalesceDelay, o.applyRollouts).Sequence = rolloutSequence
 	for _, inf := range o.informers {
 		inf.RetainTime = operatorRetainTime
+		if inf.Kind == platform.KindConfiguration {
+			inf.MaxValueBytes = 0
+		}
 		if inf.Kind == platform.KindEndpoints {
 			inf.RetainTime = endpointRetainTime
 		}
@@ -88,7 +94,7 @@
 // returns it. Changes within delay share a watch. It must be called before Run.
 func (o *Observer) AddInformer(kind string, delay time.Duration, apply func(informer.Snapshot)) *informer.Informer {
 	added := &informer.Informer{
-		Kind: kind, CoalesceDelay: delay, List: o.List, Watch: o.Watch, Reads: o.Reads,
+		Kind: kind, CoalesceDelay: delay, List: o.List, Watch: o.Watch, Reads: o.Reads, MaxValueBytes: maxEntryBytes,
 		OnChange: func(snapshot informer.Snapshot) {
 			apply(snapshot)
 			o.notifyChange()
