--- a/internal/storewatch/apply.go
+++ b/internal/storewatch/apply.go
@@ -2,8 +2,11 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/mimosaward/mimosaward/internal/clusterstate"
 	"github.com/mimosaward/mimosaward/internal/event"
 	"github.com/mimosaward/mimosaward/internal/informer"
@@ -17,27 +20,62 @@
 	}
 	config, err := platform.DecodeConfiguration(object.Value)
 	if err != nil {
-		o.logUnreadable(platform.KindConfiguration, object, err)
+		o.LogUnreadable(platform.KindConfiguration, object, err)
 		return
 	}
 	if o.configuration.StoreIfNewer(config) {
 		o.Log.Emit(event.ConfigurationApplied, event.Fields{"version": config.Version(), "revision": object.Revision})
+		o.applyEndpoints()
 	}
 }
 
-func (o *Observer) applyEndpoints(snapshot informer.Snapshot) {
+// applyEndpoints derives the endpoints from their entries and the configuration.
+func (o *Observer) applyEndpoints() {
+	o.endpointsMu.Lock()
+	defer o.endpointsMu.Unlock()
+	snapshot, synced := o.endpoints.Snapshot()
+	if !synced {
+		return
+	}
 	endpoints := make([]clusterstate.Endpoint, 0, len(snapshot.Objects))
 	for _, object := range snapshot.Objects {
 		endpoint, err := platform.DecodeEndpoint(object.Name, object.Value, o.Regions, o.layers)
 		if err != nil {
-			o.logUnreadable(platform.KindEndpoints, object, err)
+			o.LogUnreadable(platform.KindEndpoints, object, err)
+			continue
+		}
+		if o.reserved(endpoint.Address) {
+			o.LogUnreadable(platform.KindEndpoints, object, errors.Newf("%s is the address of another process", endpoint.Address))
 			continue
 		}
-		endpoints = append(endpoints, endpoint)
+		if o.configured(endpoint.Service) {
+			endpoints = append(endpoints, endpoint)
+		}
 	}
 	o.clusterState.SetEndpoints(endpoints, snapshot.Position())
 }
 
+// reserved reports whether an address belongs to a process other than an endpoint.
+func (o *Observer) reserved(address string) bool {
+	if current := o.configuration.Current(); current != nil {
+		if origin, exists := current.Origin(); exists && origin.Address == address {
+			return true
+		}
+	}
+	return o.Reserved != nil && o.Reserved(address)
+}
+
+// configured reports whether the configuration has a service. Before the first configuration,
+// any service may be in it.
+func (o *Observer) configured(service string) bool {
+	current := o.configuration.Current()
+	if current == nil {
+		return true
+	}
+	_, exists := current.Service(service)
+	return exists
+}
+
 // layers returns the number of layers of a service's model, or 0 if it is unknown.
 func (o *Observer) layers(service string) int {
 	if current := o.configuration.Current(); current != nil {
@@ -67,9 +105,9 @@
 func (o *Observer) applyRollouts(snapshot informer.Snapshot) {
 	versions := map[string]int64{}
 	for _, object := range snapshot.Objects {
-		model, version, err := platform.DecodeRollout(object.Value)
+		model, version, err := platform.DecodeRollout(object.Name, object.Value)
 		if err != nil {
-			o.logUnreadable(platform.KindRollouts, object, err)
+			o.LogUnreadable(platform.KindRollouts, object, err)
 			continue
 		}
 		versions[model] = version
@@ -96,7 +134,7 @@
 	}
 	var history []VersionRecord
 	if err := json.Unmarshal(object.Status, &history); err != nil {
-		o.logUnreadable(platform.KindRollouts+" status", object, err)
+		o.LogUnreadable(platform.KindRollouts+" status", object, err)
 		return
 	}
 	for _, record := range history {
@@ -139,8 +177,11 @@
 // Rollouts returns the times at which model versions became known.
 func (o *Observer) Rollouts() *Rollouts { return &o.rollouts }
 
-// logUnreadable logs an object that cannot be decoded, once per change.
-func (o *Observer) logUnreadable(kind string, object informer.Object, cause error) {
+// maxLoggedBytes bounds the texts of other writers in a record.
+const maxLoggedBytes = 256
+
+// LogUnreadable logs an object that cannot be decoded, once per change.
+func (o *Observer) LogUnreadable(kind string, object informer.Object, cause error) {
 	key := kind + "/" + object.Name
 	o.mu.Lock()
 	position := informer.Position{Era: object.Era, Revision: object.Revision}
@@ -148,6 +189,11 @@
 	o.reportedUnreadable[key] = position
 	o.mu.Unlock()
 	if !reported {
-		o.Log.Emit(event.ObjectUnreadable, event.Fields{"object": key, "revision": object.Revision, "error": cause.Error()})
+		o.Log.Emit(event.ObjectUnreadable, event.Fields{"object": bounded(key), "revision": object.Revision, "error": bounded(cause.Error())})
 	}
 }
+
+// bounded returns the start of a text in valid UTF-8.
+func bounded(text string) string {
+	return strings.ToValidUTF8(text[:min(len(text), maxLoggedBytes)], "")
+}
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -31,6 +31,9 @@
 	// endpointRetainTime is how long endpoints count as alive that a store lost which returned
 	// from an older copy: they write their entries again within about two seconds.
 	endpointRetainTime = 2 * time.Second
+	// maxEntryBytes is the size above which an entry is ignored. Entries of endpoints have a few
+	// hundred bytes.
+	maxEntryBytes = 16 << 10
 	// operatorRetainTime is the same for what operators write.
 	operatorRetainTime = 10 * time.Second
 )
@@ -43,6 +46,9 @@
 	// Reads reports whether this process reads the object API itself instead of receiving
 	// copies from others; nil means that it does.
 	Reads func() bool
+	// Reserved reports whether an address belongs to a process other than an endpoint; nil means
+	// that none does.
+	Reserved func(address string) bool
 	// Regions maps each availability zone to its region.
 	Regions map[string]string
 	Log     *event.Logger
@@ -51,6 +57,9 @@
 	clusterState  *clusterstate.Store
 	rollouts      Rollouts
 	informers     []*informer.Informer
+	endpoints     *informer.Informer
+	// endpointsMu serializes updates of the endpoints.
+	endpointsMu sync.Mutex
 
 	mu      sync.Mutex
 	changed chan struct{}
@@ -67,11 +76,15 @@
 	o.changed = make(chan struct{})
 	o.reportedUnreadable = map[string]informer.Position{}
 	o.AddInformer(platform.KindConfiguration, coalesceDelay, o.applyConfiguration).Sequence = configurationSequence
-	o.AddInformer(platform.KindEndpoints, endpointCoalesceDelay, o.applyEndpoints).Sequence = endpointSequence
+	o.endpoints = o.AddInformer(platform.KindEndpoints, endpointCoalesceDelay, func(informer.Snapshot) { o.applyEndpoints() })
+	o.endpoints.Sequence = endpointSequence
 	o.AddInformer(platform.KindEvacuations, coalesceDelay, o.applyEvacuations)
 	o.AddInformer(platform.KindRollouts, coalesceDelay, o.applyRollouts).Sequence = rolloutSequence
 	for _, inf := range o.informers {
 		inf.RetainTime = operatorRetainTime
+		if inf.Kind == platform.KindConfiguration {
+			inf.MaxValueBytes = 0
+		}
 		if inf.Kind == platform.KindEndpoints {
 			inf.RetainTime = endpointRetainTime
 		}
@@ -83,7 +96,7 @@
 // returns it. Changes within delay share a watch. It must be called before Run.
 func (o *Observer) AddInformer(kind string, delay time.Duration, apply func(informer.Snapshot)) *informer.Informer {
 	added := &informer.Informer{
-		Kind: kind, CoalesceDelay: delay, List: o.List, Watch: o.Watch, Reads: o.Reads,
+		Kind: kind, CoalesceDelay: delay, List: o.List, Watch: o.Watch, Reads: o.Reads, MaxValueBytes: maxEntryBytes,
 		OnChange: func(snapshot informer.Snapshot) {
 			apply(snapshot)
 			o.notifyChange()
