--- a/internal/integration/installation_test.go
+++ b/internal/integration/installation_test.go
@@ -112,7 +112,7 @@
 	i.serveFake("store", storeAddress, i.store.Handle)
 	i.serveFake("origin", originAddress, i.origin.Handle)
 	for zone := range zoneCount {
-		i.startService("booking", zone, 0)
+		i.startBookingService(zone, 0)
 		i.startEngine(zone, 0, 1)
 		i.startEngine(zone, 1, 1)
 	}
@@ -179,9 +179,9 @@
 	endpoint.Register("ready")
 }
 
-func (i *installation) startService(service string, zone, index int) *platformtest.Endpoint {
+func (i *installation) startBookingService(zone, index int) *platformtest.Endpoint {
 	endpoint := &platformtest.Endpoint{
-		ID: fmt.Sprintf("%s-%d-%d", service, zone, index), Incarnation: 1, Service: service, Address: fmt.Sprintf("10.%d.%d.3:90", zone, index+10),
+		ID: fmt.Sprintf("booking-%d-%d", zone, index), Incarnation: 1, Service: "booking", Address: fmt.Sprintf("10.%d.%d.3:90", zone, index+10),
 		Zone: zoneName(zone), Slots: 6, ProcessingTime: 20 * time.Millisecond, RestartDelay: 2 * time.Second, Store: i.store,
 	}
 	i.startEndpoint(endpoint)
--- a/internal/integration/oddentry_test.go
+++ b/internal/integration/oddentry_test.go
@@ -69,7 +69,7 @@
 func (i *installation) requireFollowed(what string, round int) {
 	i.t.Helper()
 	path := i.addRoute(fmt.Sprintf("route%d", round))
-	added := i.startService("booking", 1, 20+round)
+	added := i.startBookingService(1, 20+round)
 	i.store.Evacuate(zoneName(2))
 	time.Sleep(bounds.ZoneEvacuation)
 	evacuated, served := i.endpoints["booking-2-0"].Arrivals(), added.Arrivals()
--- a/internal/integration/restoredstore_test.go
+++ b/internal/integration/restoredstore_test.go
@@ -114,7 +114,7 @@
 // store lost that.
 func TestLeavingEndpointsAfterStoreReturnsFromOlderCopy(t *testing.T) {
 	withInstallation(t, func(i *installation) {
-		gone, draining, added := i.endpoints["booking-0-0"], i.endpoints["booking-1-0"], i.startService("booking", 2, 1)
+		gone, draining, added := i.endpoints["booking-0-0"], i.endpoints["booking-1-0"], i.startBookingService(2, 1)
 		added.Deregister()
 		time.Sleep(time.Second)
 		backup := i.store.Backup()
--- a/internal/integration/stopmoments_test.go
+++ b/internal/integration/stopmoments_test.go
@@ -258,7 +258,7 @@
 		})
 	})
 	for index := range 6 {
-		i.startService("booking", 0, index+1)
+		i.startBookingService(0, index+1)
 	}
 	i.stopProcess(gatewayName(0))
 	reload := make(chan deployment.Deployment, 1)
