integration: odd entries share an installation under the race detector

Change: with the race detector, one installation gets all entries at once. Without it, as make test runs the package too, each entry has its own as before. Every entry is tested by both.

--- a/internal/integration/norace_test.go
+++ b/internal/integration/norace_test.go
@@ -2,6 +2,8 @@
 
 package integration
 
+const oneInstallationForOddEntries = false
+
 // plannedFleets returns fleets of the planned size of a large deployment.
 func plannedFleets() map[string]limitedFleet {
 	gateways := [zoneCount]int{20, 20, 19}
