dispatch: honor every cold start that an endpoint's entry announces

Above its rate a cold worker crashes.

Cause: the end of a cold start was set once an incarnation, from the first entry with one. A worker becomes cold again at any moment of the same start.

Change: each change of an entry, told by its revision, sets anew how long the endpoint is cold. A value of zero ends it.

--- a/internal/clusterstate/endpoint.go
+++ b/internal/clusterstate/endpoint.go
@@ -16,9 +16,11 @@
 	Slots int
 	// Draining is true if the endpoint is about to shut down.
 	Draining bool
-	// ColdStartRemaining is how much longer the endpoint's cold start lasts.
+	// ColdStartRemaining is how much longer the endpoint is cold, as of the entry's Revision.
 	ColdStartRemaining time.Duration
 	Weights            []ModelVersion
+	// Revision is that of the entry in the object store.
+	Revision int64
 }
 
 // ModelVersion is a version of a model that an engine has loaded completely.
--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -32,9 +32,10 @@
 	// misdirectedIncarnation is the incarnation at whose address another endpoint
 	// responded, 0 if there is none.
 	misdirectedIncarnation int64
-	// coldUntil is when the cold start of the incarnation ends.
-	coldUntil   time.Time
-	incarnation int64
+	// coldUntil is when the endpoint stops being cold, according to its entry of entryRevision.
+	coldUntil     time.Time
+	entryRevision int64
+	incarnation   int64
 	// announced is what the endpoint said about itself.
 	announced announced
 	// turnedAway is the time for which the endpoint wants no requests from this gateway.
@@ -152,15 +153,17 @@
 	return 1
 }
 
-// recordEntry updates the cold start from the endpoint's entry in the object store, and
-// resets the health on a new incarnation.
+// recordEntry records how long the endpoint is cold each time its entry in the object store
+// changes, since an endpoint may become cold again at any moment. It resets the health on a new
+// incarnation.
 func (s *endpointState) recordEntry(endpoint *clusterstate.Endpoint, now time.Time) {
-	if endpoint.Incarnation != s.incarnation {
+	sameStart := endpoint.Incarnation == s.incarnation
+	if !sameStart {
 		s.incarnation = endpoint.Incarnation
-		s.coldUntil = time.Time{}
 		s.health = health{}
 	}
-	if endpoint.ColdStartRemaining > 0 && s.coldUntil.IsZero() {
+	if !sameStart || endpoint.Revision != s.entryRevision {
+		s.entryRevision = endpoint.Revision
 		s.coldUntil = now.Add(endpoint.ColdStartRemaining)
 	}
 }
--- a/internal/storewatch/apply.go
+++ b/internal/storewatch/apply.go
@@ -44,6 +44,7 @@
 			o.LogUnreadable(platform.KindEndpoints, object, err)
 			continue
 		}
+		endpoint.Revision = object.Revision
 		if o.reserved(endpoint.Address) {
 			o.LogUnreadable(platform.KindEndpoints, object, errors.Newf("%s is the address of another process", endpoint.Address))
 			continue
