quarantine: reject parts that were answered before the crashes last

Cause: of the parts in enough crashes, those with the most were rejected together. The first part was in the same crashes as the deadly one, and none of its few sound requests was answered in the second between the crashes and the decision. That it had been answered right before did not count.

Change: crashes carry which of their parts were answered within 10 min before, at any gateway. These parts and fingerprints are rejected only if no other one is in enough crashes.

--- a/internal/integration/poison_test.go
+++ b/internal/integration/poison_test.go
@@ -47,17 +47,29 @@
 			call := template
 			call.AttemptID = fmt.Sprintf("%s-%d-%d", kind, zone, index)
 			call.PromptParts = parts(index)
-			sentAt := time.Now()
-			c.group.Go(func(context.Context) {
-				response, err := platformtest.Do(c.installation.network.ForProcess("caller").Dial, call)
-				if slices.Contains(call.PromptParts, poisonousPart) {
-					return
-				}
-				c.mu.Lock()
-				defer c.mu.Unlock()
-				c.sound = append(c.sound, soundRequest{sentAt: sentAt, served: err == nil && response.Status == 200 && response.TimeToFirstByte > 0})
-			})
+			c.do(call)
+		}
+	})
+}
+
+// sendOnce sends a request to the gateway of a zone.
+func (c *poisonCallers) sendOnce(zone int, id string, parts []string) {
+	call := c.installation.chatCall(zone)
+	call.AttemptID, call.PromptParts = id, parts
+	c.do(call)
+}
+
+// do sends a request in the background and records its outcome if it is sound.
+func (c *poisonCallers) do(call platformtest.Request) {
+	sentAt := time.Now()
+	c.group.Go(func(context.Context) {
+		response, err := platformtest.Do(c.installation.network.ForProcess("caller").Dial, call)
+		if slices.Contains(call.PromptParts, poisonousPart) {
+			return
 		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.sound = append(c.sound, soundRequest{sentAt: sentAt, served: err == nil && response.Status == 200 && response.TimeToFirstByte > 0})
 	})
 }
 
--- a/internal/quarantine/crash.go
+++ b/internal/quarantine/crash.go
@@ -16,6 +16,8 @@
 	// answered since.
 	Parts   []string
 	Cleared []string
+	// Proven are the suspected ones with which a request was answered in the time before.
+	Proven []string
 	// Reporter names the first gateway that reported the crash.
 	Reporter string
 }
@@ -34,6 +36,9 @@
 	changedAt time.Time
 	reporter  string
 	parts     map[string]bool
+	// proven holds the parts with which a request was answered within provenWindow before the
+	// crash, at any gateway. Like parts, it only grows.
+	proven map[string]bool
 	// requests is the number of parts that are fingerprints.
 	requests int
 }
@@ -63,6 +68,16 @@
 	return true
 }
 
+// prove marks a part as one that engines had answered before, and reports whether that was
+// unknown.
+func (c *crash) prove(part string) bool {
+	if _, suspected := c.parts[part]; !suspected || c.proven[part] {
+		return false
+	}
+	c.proven[strings.Clone(part)] = true
+	return true
+}
+
 func (c *crash) describe(key crashKey, now time.Time) Crash {
 	described := Crash{Endpoint: key.endpoint, Incarnation: key.incarnation, Age: now.Sub(c.at), Reporter: c.reporter}
 	for part, cleared := range c.parts {
@@ -71,8 +86,12 @@
 		} else {
 			described.Parts = append(described.Parts, part)
 		}
+		if c.proven[part] {
+			described.Proven = append(described.Proven, part)
+		}
 	}
 	slices.Sort(described.Parts)
 	slices.Sort(described.Cleared)
+	slices.Sort(described.Proven)
 	return described
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -15,6 +15,9 @@
 	// minCrashes is the number of endpoint starts that must have ended with a part before
 	// the part is rejected.
 	minCrashes = 3
+	// provenWindow is the time before a crash in which an answer to a request with a part makes
+	// the part unlikely to be the cause.
+	provenWindow = 10 * time.Minute
 	// crashSpacing is the least time between two crashes that both count: engines that end
 	// at the same moment have a common cause, such as a power failure.
 	crashSpacing = 100 * time.Millisecond
@@ -217,7 +220,7 @@
 		if q.crashes == nil {
 			q.crashes = map[crashKey]*crash{}
 		}
-		known = &crash{at: at, reporter: added.Reporter, parts: map[string]bool{}}
+		known = &crash{at: at, reporter: added.Reporter, parts: map[string]bool{}, proven: map[string]bool{}}
 		q.crashes[key] = known
 		q.dropOldCrashes(now)
 	}
@@ -226,15 +229,22 @@
 	}
 	for _, part := range added.Parts {
 		changed = known.suspect(part) || changed
-		if !q.answers(part).last(part).Before(known.at) {
+		last := q.answers(part).last(part)
+		if !last.Before(known.at) {
 			known.clear(part)
 		}
+		if !last.IsZero() && known.at.Sub(last) <= provenWindow {
+			changed = known.prove(part) || changed
+		}
 		q.renew(part, known.at, now)
 	}
 	for _, part := range added.Cleared {
 		changed = known.suspect(part) || changed
 		changed = known.clear(part) || changed
 	}
+	for _, part := range added.Proven {
+		changed = known.prove(part) || changed
+	}
 	if changed {
 		known.changedAt, q.decideAt = now, now
 	}
@@ -270,12 +280,47 @@
 }
 
 // rejectMostSuspected rejects the parts with the most crashes, if these are enough. Crashes
-// with a rejected part are explained by it and do not count for others. If a fingerprint is in as
-// many crashes as a prompt part, only the fingerprint is rejected, since sound requests may have
-// the prompt part.
+// with a rejected part are explained by it and do not count for others. Parts that were answered
+// before their crashes are rejected only if no other part is in enough crashes: requests that
+// share them with the cause of the crashes are sound. If a fingerprint is in as many crashes as a
+// prompt part, only the fingerprint is rejected, since sound requests may have the prompt part.
 func (q *Quarantine) rejectMostSuspected(now time.Time) bool {
+	suspects := q.suspects(now)
+	unproven := false
+	for _, found := range suspects {
+		unproven = unproven || !found.proven
+	}
+	most, requestOnly := 0, false
+	for part, found := range suspects {
+		if found.proven && unproven {
+			delete(suspects, part)
+			continue
+		}
+		most = max(most, len(found.crashes))
+	}
+	for part, found := range suspects {
+		requestOnly = requestOnly || (len(found.crashes) == most && isRequest(part))
+	}
+	for part, found := range suspects {
+		if len(found.crashes) == most && (isRequest(part) || !requestOnly) {
+			q.reject(part, q.nextStrikes(part), now, Decision{Crashes: found.crashes, By: q.Self})
+			q.notify(true)
+		}
+	}
+	return len(suspects) > 0
+}
+
+// suspect is a part that was in enough crashes to be rejected.
+type suspect struct {
+	crashes []Crash
+	// proven is true if a request with the part was answered before one of the crashes.
+	proven bool
+}
+
+// suspects returns the parts that are in enough crashes, and sets decideAt.
+func (q *Quarantine) suspects(now time.Time) map[string]*suspect {
 	q.decideAt = time.Time{}
-	crashesByPart := map[string][]Crash{}
+	suspects := map[string]*suspect{}
 	for key, known := range q.crashes {
 		if now.Sub(known.at) > crashWindow {
 			continue
@@ -290,34 +335,27 @@
 			continue
 		}
 		described := known.describe(key, now)
-		for part, cleared := range known.parts {
-			if !cleared {
-				crashesByPart[part] = append(crashesByPart[part], described)
+		for _, part := range described.Parts {
+			found := suspects[part]
+			if found == nil {
+				found = &suspect{}
+				suspects[part] = found
 			}
+			found.crashes = append(found.crashes, described)
+			found.proven = found.proven || known.proven[part]
 		}
 	}
-	most := minCrashes
-	for part, crashes := range crashesByPart {
+	for part, found := range suspects {
 		spacing := crashSpacing
 		if isRequest(part) {
 			spacing = requestSpacing
 		}
-		crashesByPart[part] = spaced(crashes, spacing)
-		most = max(most, len(crashesByPart[part]))
-	}
-	requestOnly := false
-	for part, crashes := range crashesByPart {
-		requestOnly = requestOnly || (len(crashes) >= most && isRequest(part))
-	}
-	rejected := false
-	for part, crashes := range crashesByPart {
-		if len(crashes) >= most && (isRequest(part) || !requestOnly) {
-			rejected = true
-			q.reject(part, q.nextStrikes(part), now, Decision{Crashes: crashes, By: q.Self})
-			q.notify(true)
+		found.crashes = spaced(found.crashes, spacing)
+		if len(found.crashes) < minCrashes {
+			delete(suspects, part)
 		}
 	}
-	return rejected
+	return suspects
 }
 
 // spaced orders crashes by their age, the oldest first, and drops those that follow another
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -118,6 +118,83 @@
 	}
 }
 
+// Guards against sound requests that are refused because they share a part with those that crash
+// engines, and none of them is answered between the crashes and the decision.
+func TestAnsweredPartsAreRejectedLast(t *testing.T) {
+	const request = quarantine.RequestPrefix + "1"
+	crashes := func(q *quarantine.Quarantine, c *clock, count int, parts ...string) {
+		for engine := range count {
+			q.RecordCrash(crashOf(engine, parts...), c.now)
+			c.advance(200 * time.Millisecond)
+		}
+	}
+	cases := map[string]struct {
+		play func(q, other *quarantine.Quarantine, c *clock)
+		want []string
+	}{
+		"answered before the crashes": {func(q, _ *quarantine.Quarantine, c *clock) {
+			q.RecordAnswered([]string{"first", "other"}, c.now)
+			c.advance(2 * time.Second)
+			crashes(q, c, 3, "first", "other", "bad")
+		}, []string{"bad"}},
+		"answered before, in more crashes": {func(q, _ *quarantine.Quarantine, c *clock) {
+			q.RecordAnswered([]string{"first"}, c.now)
+			c.advance(2 * time.Second)
+			crashes(q, c, 3, "first", "bad")
+			q.RecordCrash(crashOf(3, "first"), c.now)
+		}, []string{"bad"}},
+		"answered before by another gateway": {func(q, other *quarantine.Quarantine, c *clock) {
+			other.RecordAnswered([]string{"first"}, c.now)
+			c.advance(2 * time.Second)
+			crashes(q, c, 3, "first", "bad")
+		}, []string{"bad"}},
+		"request answered before": {func(q, _ *quarantine.Quarantine, c *clock) {
+			q.RecordAnswered([]string{request}, c.now)
+			c.advance(2 * time.Second)
+			crashes(q, c, 3, "bad", request)
+		}, []string{"bad"}},
+		"answered before, alone in the crashes": {func(q, _ *quarantine.Quarantine, c *clock) {
+			q.RecordAnswered([]string{"bad"}, c.now)
+			c.advance(2 * time.Second)
+			for engine := range 3 {
+				q.RecordCrash(crashOf(engine, "bad", fmt.Sprint("own-", engine)), c.now)
+				c.advance(200 * time.Millisecond)
+			}
+		}, []string{"bad"}},
+		"crashes go on without the part that was never answered": {func(q, _ *quarantine.Quarantine, c *clock) {
+			q.RecordAnswered([]string{"bad"}, c.now)
+			c.advance(2 * time.Second)
+			crashes(q, c, 3, "bad", "other")
+			c.advance(settled)
+			_ = rejected(q, c.now, "bad")
+			for engine := range 3 {
+				q.RecordCrash(crashOf(10+engine, "bad"), c.now)
+				c.advance(200 * time.Millisecond)
+			}
+		}, []string{"bad", "other"}},
+		"answered long before": {func(q, _ *quarantine.Quarantine, c *clock) {
+			q.RecordAnswered([]string{"first"}, c.now)
+			c.advance(time.Hour)
+			crashes(q, c, 3, "first", "bad")
+		}, []string{"first", "bad"}},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			q, other, c := newQuarantine("gateway-0", "gateway-1"), newQuarantine("gateway-1", "gateway-0"), newClock()
+			test.play(q, other, c)
+			other.Merge(q.Digest(c.now), true, c.now)
+			c.advance(100 * time.Millisecond)
+			q.Merge(other.Digest(c.now), true, c.now)
+			c.advance(settled)
+			for _, gateway := range []*quarantine.Quarantine{q, other} {
+				if diff := cmp.Diff(test.want, rejected(gateway, c.now, "first", "bad", "other", request)); diff != "" {
+					t.Errorf("rejected parts of %s (-want +got):\n%s", gateway.Self, diff)
+				}
+			}
+		})
+	}
+}
+
 // rejectBad makes the quarantine reject the part "bad" and returns the time until the
 // rejection ends.
 func rejectBad(q *quarantine.Quarantine, c *clock) time.Duration {
