integration: engines report the replaced version before a new one starts

Cause: the stand-in for an endpoint writes its entry only when it is told to, so the entries still named version 1 and the new loader found no instance that serves version 2. The test now writes the entries again; the check is unchanged.

--- a/internal/integration/spoiltmanifest_test.go
+++ b/internal/integration/spoiltmanifest_test.go
@@ -149,8 +149,10 @@
 		i.store.RequestRollout(modelName, 2)
 		time.Sleep(bounds.Rollout)
 		i.checkVersion("after the time limit", 2)
-		// The last engines report the version with their next heartbeats.
-		time.Sleep(3 * bounds.Heartbeat)
+		for _, endpoint := range i.endpoints {
+			endpoint.Heartbeat()
+		}
+		time.Sleep(time.Second)
 		i.origin.AlterManifests(func(int, *platformtest.Manifest) {})
 		sentBefore := i.origin.ChunksSent()
 		i.startEngine(0, 2, 0)
