connpool: bound the memory of all bodies that are read at the same time

What callers saw elsewhere: a worker sent bytes without end, the machine that had called it kept them and ran out of memory, and the requests of other clients ended with it. The question was whether that can happen here.

Cause: each read of an answer was bounded (head 8 KiB, event 1 MiB, body 32 MiB), their sum was not, and the read of a chunk from another instance was not bounded at all. Responses of the object store took up to 16 MiB each.

A chunk of 20 MiB was read whole where 16 MiB is the limit.

Change: bodies and events share an eighth of the memory; if it is used up, the largest is given up. Up to 16 KiB of each don't count. The runtime frees garbage without delay from three quarters of the memory on.

--- a/internal/cli/platformdaemon.go
+++ b/internal/cli/platformdaemon.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -100,6 +101,9 @@
 	logWriter := concurrency.NewGroup(context.Background())
 	logWriter.Go(log.Run)
 	defer stopBackground(logWriter)
+	if memory := loaded.Resources.MemoryBytes; memory > 0 {
+		debug.SetMemoryLimit(memory / memoryLimitDivisor * memoryLimitFactor)
+	}
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector())
 	watcher := &settingsWatcher{
@@ -125,6 +129,10 @@
 	return ExitSuccess
 }
 
+// memoryLimitFactor / memoryLimitDivisor is the part of its memory at which a process frees
+// garbage without delay. The rest is for what the kernel holds for its connections.
+const memoryLimitFactor, memoryLimitDivisor = 3, 4
+
 // backgroundStopTimeout bounds the time in which background tasks end, and the last records are
 // written: a log output that nobody reads, or settings that cannot be read, must not keep the
 // process running.
--- a/internal/connpool/exchange.go
+++ b/internal/connpool/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,6 +18,8 @@
 	response *fasthttp.Response
 	// skipped counts the responses that belonged to other requests.
 	skipped int
+	// reserved is the part of the pool's budget that the body uses.
+	reserved reservation
 }
 
 // ErrResponseMismatch means that the connection carries responses to other requests.
@@ -50,7 +53,7 @@
 		}
 		return nil, errors.Wrapf(err, "send request to %s", conn.address)
 	}
-	return &Exchange{pool: p, conn: conn, response: fasthttp.AcquireResponse()}, nil
+	return &Exchange{pool: p, conn: conn, response: fasthttp.AcquireResponse(), reserved: reservation{evict: conn.Abort}}, nil
 }
 
 // writeBufferBytes is enough for a typical request, so that it is sent in one write.
@@ -137,16 +140,57 @@
 // ErrBodyTooLarge means that a body exceeds maxBufferedBody.
 var ErrBodyTooLarge = errors.Newf("response body exceeds %d bytes", maxBufferedBody)
 
+// bodyBlockBytes is the size of the blocks in which a body is read as a whole.
+const bodyBlockBytes = 16 << 10
+
 // ReadAll reads the rest of the body and fails after the deadline.
 func (e *Exchange) ReadAll(deadline time.Time) ([]byte, error) {
 	if err := e.conn.SetReadDeadline(deadline); err != nil {
 		return nil, err
 	}
-	body, err := io.ReadAll(io.LimitReader(e.bodyReader(), maxBufferedBody+1))
-	if err == nil && len(body) > maxBufferedBody {
-		err = ErrBodyTooLarge
+	reader := e.bodyReader()
+	var blocks [][]byte
+	var block []byte
+	for size := 0; ; {
+		if len(block) == cap(block) {
+			if err := e.Reserve(size + bodyBlockBytes); err != nil {
+				return nil, err
+			}
+			blocks = append(blocks, block)
+			block = make([]byte, 0, bodyBlockBytes)
+		}
+		n, err := reader.Read(block[len(block):cap(block)])
+		block = block[:len(block)+n]
+		size += n
+		switch {
+		case size > maxBufferedBody:
+			return nil, ErrBodyTooLarge
+		case errors.Is(err, io.EOF):
+			return e.join(append(blocks, block), size)
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
+// join returns the content of the blocks.
+func (e *Exchange) join(blocks [][]byte, size int) ([]byte, error) {
+	if last := blocks[len(blocks)-1]; len(last) == size {
+		return last, nil
+	}
+	if err := e.Reserve(2 * size); err != nil {
+		return nil, err
+	}
+	return slices.Concat(blocks...), nil
+}
+
+// Reserve reserves memory for a number of bytes of the body, and fails if the bodies that are
+// read at the same time take too much. An exchange that is given up for others is aborted.
+func (e *Exchange) Reserve(bytes int) error {
+	if e.pool.Budget == nil {
+		return nil
 	}
-	return body, err
+	return e.pool.Budget.resize(&e.reserved, bytes)
 }
 
 // Finish ends an exchange whose body was read completely. If reuse is false, the connection
@@ -155,7 +199,7 @@
 func (e *Exchange) Finish(reuse bool, idleTimeout time.Duration) {
 	framed := e.Framed()
 	e.release()
-	if !reuse || !framed || e.skipped > 0 {
+	if !reuse || !framed || e.skipped > 0 || e.conn.closed.Load() {
 		_ = e.conn.Close()
 		return
 	}
@@ -173,6 +217,9 @@
 }
 
 func (e *Exchange) release() {
+	if e.pool.Budget != nil {
+		e.pool.Budget.release(&e.reserved)
+	}
 	if e.response != nil {
 		_ = e.response.CloseBodyStream()
 		fasthttp.ReleaseResponse(e.response)
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -35,6 +35,8 @@
 	// Stale reports whether an idle connection was closed by the peer or has unread bytes,
 	// which belong to no request. If it is nil, no connection counts as stale.
 	Stale func(net.Conn) bool
+	// Budget bounds the memory of the bodies that are read at the same time; nil means no bound.
+	Budget *Budget
 
 	mu        sync.Mutex
 	idleConns map[string][]*Conn
--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -29,6 +29,9 @@
 type Reader struct {
 	// Read reads the next bytes of the stream. Only io.EOF marks its regular end.
 	Read func(buffer []byte) (int, error)
+	// Reserve reserves memory for an incomplete event with a number of bytes, and fails if there
+	// is too little. It may be nil.
+	Reserve func(bytes int) error
 
 	pending []byte
 	scanned int
@@ -72,6 +75,11 @@
 	if len(r.pending) > maxEventBytes {
 		return ErrTooLarge
 	}
+	if r.Reserve != nil {
+		if err := r.Reserve(len(r.pending) + readChunkBytes); err != nil {
+			return err
+		}
+	}
 	buffer := make([]byte, len(r.pending), len(r.pending)+readChunkBytes)
 	copy(buffer, r.pending)
 	n, err := r.Read(buffer[len(r.pending):cap(buffer)])
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"sync/atomic"
@@ -30,6 +31,11 @@
 )
 
 const (
+	// bodiesDivisor is the divisor of the process's memory that gives the memory for response
+	// bodies. The rest is for everything else and for what the garbage collector has not freed.
+	bodiesDivisor = 8
+	// defaultMemoryBytes is the process's memory if the settings name none.
+	defaultMemoryBytes = 256 << 20
 	// disconnectCheckInterval is how often the connections of requests in flight are
 	// checked for clients that disconnected. Endpoints must be notified within half a
 	// second.
@@ -76,6 +82,7 @@
 	// failures receives the failure of a component without which the gateway must not run.
 	failures      chan error
 	pool          *connpool.Pool
+	bodies        *connpool.Budget
 	retries       *retry.Budget
 	bounds        atomic.Pointer[deployment.Bounds]
 	metrics       *gatewayMetrics
@@ -186,7 +193,8 @@
 	g.loaderPoller = &loaderPoller{
 		Control: g.controlClient, Ports: g.Deployment.PeerPorts, Log: g.Log, Plan: g.loaderPlan, OnStatus: g.dispatcher.RecordStatus,
 	}
-	g.pool = &connpool.Pool{Dial: g.Dial, Stale: g.Stale}
+	g.bodies = &connpool.Budget{Limit: int(cmp.Or(g.Deployment.Resources.MemoryBytes, defaultMemoryBytes) / bodiesDivisor)}
+	g.pool = &connpool.Pool{Dial: g.Dial, Stale: g.Stale, Budget: g.bodies}
 	g.retries = &retry.Budget{Percent: 15}
 	g.metrics = newGatewayMetrics(g.Registry)
 	g.registerGauges(g.Registry)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -26,7 +26,7 @@
 		return
 	}
 	relay := &streamRelay{request: r, attempt: a}
-	relay.events = eventstream.Reader{Read: relay.readUpstream}
+	relay.events = eventstream.Reader{Read: relay.readUpstream, Reserve: a.exchange.Reserve}
 	event, err := relay.events.Next()
 	if !r.settle() {
 		err = errWithdrawn
--- a/internal/loader/origin.go
+++ b/internal/loader/origin.go
@@ -81,8 +81,9 @@
 			inRegion = append(inRegion, peer)
 		}
 	}
+	plan, _ := l.plans.current()
 	for _, peer := range membership.TopRanked(chunk.String(), inRegion, maxServingPeers) {
-		response, err := l.transport.FetchPeer(ctx, peer, p2p.Request{Chunk: chunk, MaxWait: servingPeerMaxWait})
+		response, err := l.transport.FetchPeer(ctx, peer, p2p.Request{Chunk: chunk, MaxBytes: plan.Model.ChunkBytes, MaxWait: servingPeerMaxWait})
 		if err == nil {
 			return response.Data, nil
 		}
--- a/internal/p2p/download.go
+++ b/internal/p2p/download.go
@@ -194,6 +194,7 @@
 // fetchFrom fetches a chunk from one source, verifies it and stores it.
 func (d *download) fetchFrom(ctx context.Context, source topology.Source, request Request) error {
 	digest := request.Chunk
+	request.MaxBytes = d.manifest.ChunkBytes
 	data, err := d.transfer(ctx, source, request)
 	if err != nil {
 		d.recordError(ctx, source, err)
--- a/internal/p2p/request.go
+++ b/internal/p2p/request.go
@@ -12,6 +12,8 @@
 	// Offset and Length select a slice; Length 0 means the whole chunk.
 	Offset int
 	Length int
+	// MaxBytes is the maximum size of the response; 0 means that of any response.
+	MaxBytes int
 	// MaxWait is how long the peer may wait for the chunk to arrive.
 	MaxWait time.Duration
 	// FetchAsRoot asks the peer to fetch the chunk in place of the stripe's root, since
--- a/internal/transport/chunks.go
+++ b/internal/transport/chunks.go
@@ -144,7 +144,7 @@
 // readChunk reads the body of a response. It limits the rate only for whole chunks,
 // since a slice has already waited for the link.
 func (t *Transport) readChunk(ctx context.Context, response *upstream.Response, request p2p.Request) ([]byte, error) {
-	return response.ReadThrottled(bandwidth.BlockBytes, func(bytes int) error {
+	return response.ReadThrottled(bandwidth.BlockBytes, request.MaxBytes, func(bytes int) error {
 		if request.Length > 0 || response.Status() != fiber.StatusOK {
 			return ctx.Err()
 		}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -187,16 +187,23 @@
 	return body, nil
 }
 
-// ReadThrottled reads the complete body in parts of up to partSize bytes. Before each part it
-// calls wait with the maximum size of the part, and stops if wait returns an error.
-func (r *Response) ReadThrottled(partSize int, wait func(bytes int) error) ([]byte, error) {
+// ReadThrottled reads the complete body, of up to maxBytes, in parts of up to partSize bytes.
+// Before each part it calls wait with the maximum size of the part, and stops if wait returns an
+// error. A maxBytes of 0 means the maximum of any body.
+func (r *Response) ReadThrottled(partSize, maxBytes int, wait func(bytes int) error) ([]byte, error) {
 	if r.reader == nil {
 		return r.ReadBody()
 	}
-	var body bytes.Buffer
-	body.Grow(min(max(0, r.response.Header.ContentLength()), maxBodyBytes))
+	if maxBytes <= 0 {
+		maxBytes = maxBodyBytes
+	}
 	length := r.response.Header.ContentLength()
+	var body bytes.Buffer
+	body.Grow(min(max(0, length), maxBytes))
 	for {
+		if length > maxBytes || body.Len() > maxBytes {
+			return nil, errors.Mark(errors.Newf("the answer has more than %d bytes", maxBytes), ErrNoResponse)
+		}
 		next := partSize
 		if length >= 0 {
 			next = min(partSize, length-body.Len())
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -46,7 +46,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		got, err := response.ReadThrottled(partSize, func(int) error { return nil })
+		got, err := response.ReadThrottled(partSize, 0, func(int) error { return nil })
 		response.Close()
 		if err != nil || !bytes.Equal(got, want) {
 			t.Errorf("body of %d bytes: read %d bytes, error %v", length, len(got), err)
@@ -64,7 +64,7 @@
 	}
 	defer response.Close()
 	waits := 0
-	_, err = response.ReadThrottled(partSize, func(int) error {
+	_, err = response.ReadThrottled(partSize, 0, func(int) error {
 		if waits++; waits > 3 {
 			return errStop
 		}
@@ -75,7 +75,7 @@
 	}
 }
 
-// A next hop cannot make this process buffer more than the size limits.
+// A next hop cannot make this process buffer more than the size limits, however the body is read.
 func TestResponseSizeLimits(t *testing.T) {
 	readers := map[string]func(response *upstream.Response) error{
 		"line": func(response *upstream.Response) error {
@@ -86,6 +86,14 @@
 			_, err := response.ReadBody()
 			return err
 		},
+		"throttled body": func(response *upstream.Response) error {
+			_, err := response.ReadThrottled(partSize, 0, func(int) error { return nil })
+			return err
+		},
+		"throttled body with a smaller limit": func(response *upstream.Response) error {
+			_, err := response.ReadThrottled(partSize, 10*partSize, func(int) error { return nil })
+			return err
+		},
 	}
 	for name, read := range readers {
 		response, err := serve(t, make([]byte, 20<<20)).Do(upstream.Request{Method: "GET", URL: "http://peer/"})
@@ -108,7 +116,7 @@
 	}
 	defer response.Close()
 	var waits []int
-	if _, err := response.ReadThrottled(partSize, func(bytes int) error {
+	if _, err := response.ReadThrottled(partSize, 0, func(bytes int) error {
 		waits = append(waits, bytes)
 		return nil
 	}); err != nil {
