dispatch: forget after a while that an endpoint was replaced

Found while looking for state that is set once a start and never renewed. A response with status 421 marked an endpoint as replaced by another one at its address, for the rest of its incarnation. If that one answer was wrong, the gateway never used the endpoint again.

Evidence: TestWrongMisdirectionIsForgotten without the change: the endpoint executes nothing 6 s after it answered rightly again.

Change: the mark counts for 5 s. A request to an address that is really used by another endpoint is not executed there, so one is sent in vain each 5 s until the entry is gone.

Conclusion: the test passes, and so do those on reused addresses.

--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -30,8 +30,9 @@
 	// health tracks the outcomes of the gateway's own requests.
 	health health
 	// misdirectedIncarnation is the incarnation at whose address another endpoint
-	// responded, 0 if there is none.
+	// responded, 0 if there is none. It counts until misdirectedUntil.
 	misdirectedIncarnation int64
+	misdirectedUntil       time.Time
 	// coldUntil is when the endpoint stops being cold, according to its entry of entryRevision.
 	coldUntil     time.Time
 	entryRevision int64
@@ -125,10 +126,14 @@
 // statusFresh reports whether the loader's status is recent enough to be used.
 func (s *endpointState) statusFresh(now time.Time) bool { return now.Sub(s.statusAt) <= statusMaxAge }
 
+// misdirectionMaxAge is how long an endpoint counts as replaced after a response that said so. The
+// response may have been wrong, and a request that is sent in vain is not executed.
+const misdirectionMaxAge = 5 * time.Second
+
 // replaced reports whether another endpoint has replaced the one that the entry describes:
 // a request to its address was misdirected, or its loader reports a later incarnation.
 func (s *endpointState) replaced(endpoint *clusterstate.Endpoint, now time.Time) bool {
-	if s.misdirectedIncarnation == endpoint.Incarnation && s.misdirectedIncarnation != 0 {
+	if s.misdirectedIncarnation == endpoint.Incarnation && s.misdirectedIncarnation != 0 && now.Before(s.misdirectedUntil) {
 		return true
 	}
 	return s.statusFresh(now) && s.status.Incarnation > endpoint.Incarnation && endpoint.Incarnation > 0
--- a/internal/dispatch/grant.go
+++ b/internal/dispatch/grant.go
@@ -125,7 +125,7 @@
 	case Refused:
 		l.state.health.recordRefusal(now)
 	case Misdirected:
-		l.state.misdirectedIncarnation = l.endpoint.Incarnation
+		l.state.misdirectedIncarnation, l.state.misdirectedUntil = l.endpoint.Incarnation, now.Add(misdirectionMaxAge)
 		if l.endpoint.Incarnation == 0 {
 			l.state.health.recordFailure(now)
 		}
--- a/internal/integration/outcome_test.go
+++ b/internal/integration/outcome_test.go
@@ -114,6 +114,28 @@
 	})
 }
 
+// Guards against a sound endpoint that gets no more requests for good because it once answered
+// that they were meant for another one.
+func TestWrongMisdirectionIsForgotten(t *testing.T) {
+	withInstallation(t, func(i *installation) {
+		const id = "booking-0-0"
+		endpoint := i.endpoints[id]
+		endpoint.Rename("office-9")
+		for range 5 {
+			_ = i.do(i.call(0, bookPath))
+		}
+		endpoint.Rename(id)
+		time.Sleep(6 * time.Second)
+		before := len(endpoint.Executions())
+		for range 10 {
+			_ = i.do(i.call(0, bookPath))
+		}
+		if len(endpoint.Executions()) == before {
+			t.Errorf("%s executes no requests after it answered once that they were misdirected", id)
+		}
+	})
+}
+
 // An endpoint that reuses the address of another one refuses its requests. The gateway
 // then sends them to another endpoint of the intended service.
 func TestReusedAddress(t *testing.T) {
