loader: a replacement manifest may have another number of chunks

Found when reading the change: if the configuration changed the number of chunks while a set was fetched, the comparison of the two manifests would have indexed past the shorter one, which ends the task and with it the process. TestVerifiedDigestsAreKept fails on the code before (index out of range for "other number of chunks", by reading; not run on it) and passes now.

--- a/internal/loader/recheck.go
+++ b/internal/loader/recheck.go
@@ -121,9 +121,13 @@
 // keepVerified returns the other manifest, in which digests that nothing confirms are replaced
 // by those of the present one whose chunks were verified: no data matches a wrong digest.
 func (l *Loader) keepVerified(present, other *weights.Manifest) (*weights.Manifest, error) {
-	otherChunks := other.Positions()
+	chunks, otherChunks := present.Positions(), other.Positions()
+	if len(chunks) != len(otherChunks) {
+		// The configuration has another number of chunks by now.
+		return other, nil
+	}
 	merged := slices.Clone(otherChunks)
-	for index, chunk := range present.Positions() {
+	for index, chunk := range chunks {
 		if l.store.Has(chunk) && !slices.Contains(otherChunks, chunk) {
 			merged[index] = chunk
 		}
@@ -136,9 +140,8 @@
 // this one. The chunks that both manifests contain are kept.
 func (l *Loader) replaceManifest(wanted modelVersion, old, replacement *weights.Manifest) error {
 	differing := 0
-	newChunks := replacement.Positions()
-	for index, chunk := range old.Positions() {
-		if newChunks[index] != chunk {
+	for _, chunk := range replacement.Chunks() {
+		if !slices.Contains(old.Chunks(), chunk) {
 			differing++
 		}
 	}
