connpool: don't count a body twice, and give bodies a quarter of the memory

Change: a body counts once, and the budget is a quarter of the memory.

Sound bodies that exceed a quarter of the memory together are still given up, the largest first.

--- a/internal/connpool/budget_test.go
+++ b/internal/connpool/budget_test.go
@@ -117,3 +117,43 @@
 		group.Wait()
 	}
 }
+
+// Guards against sound bodies that are given up although they fit into the budget together.
+func TestLargeSoundBodiesFillTheBudget(t *testing.T) {
+	const limit, bodies = 1 << 20, 3
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	pool := &connpool.Pool{
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "tcp4", address)
+		},
+		Budget: &connpool.Budget{Limit: limit},
+	}
+	size := limit/bodies - 32<<10
+	body := []byte(strings.Repeat("x", size))
+	// The bodies end only when all of them were sent but for the last byte.
+	var arrived, group sync.WaitGroup
+	arrived.Add(bodies)
+	for range bodies {
+		e := startExchange(t, pool, listener)
+		group.Go(func() {
+			_, _ = e.conn.Write(body[1:])
+			arrived.Done()
+			arrived.Wait()
+			time.Sleep(50 * time.Millisecond)
+			_, _ = e.conn.Write(body[:1])
+			_ = e.conn.Close()
+		})
+		group.Go(func() {
+			got, err := e.exchange.ReadAll(time.Now().Add(5 * time.Second))
+			if err != nil || len(got) != size {
+				t.Errorf("read %d bytes, error %v, want %d and none", len(got), err, size)
+			}
+			e.exchange.Finish(false, 0)
+		})
+	}
+	group.Wait()
+}
--- a/internal/connpool/exchange.go
+++ b/internal/connpool/exchange.go
@@ -166,7 +166,7 @@
 		case size > maxBufferedBody:
 			return nil, ErrBodyTooLarge
 		case errors.Is(err, io.EOF):
-			return e.join(append(blocks, block), size)
+			return join(append(blocks, block), size), nil
 		case err != nil:
 			return nil, err
 		}
@@ -174,14 +174,11 @@
 }
 
 // join returns the content of the blocks.
-func (e *Exchange) join(blocks [][]byte, size int) ([]byte, error) {
+func join(blocks [][]byte, size int) []byte {
 	if last := blocks[len(blocks)-1]; len(last) == size {
-		return last, nil
+		return last
 	}
-	if err := e.Reserve(2 * size); err != nil {
-		return nil, err
-	}
-	return slices.Concat(blocks...), nil
+	return slices.Concat(blocks...)
 }
 
 // Reserve reserves memory for a number of bytes of the body, and fails if the bodies that are
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,7 +33,7 @@
 const (
 	// bodiesDivisor is the divisor of the process's memory that gives the memory for response
 	// bodies. The rest is for everything else and for what the garbage collector has not freed.
-	bodiesDivisor = 8
+	bodiesDivisor = 4
 	// defaultMemoryBytes is the process's memory if the settings name none.
 	defaultMemoryBytes = 256 << 20
 	// disconnectCheckInterval is how often the connections of requests in flight are
