--- a/internal/cli/platformdaemon.go
+++ b/internal/cli/platformdaemon.go
@@ -10,10 +10,12 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	dto "github.com/prometheus/client_model/go"
 
 	"github.com/mimosaward/mimosaward/internal/concurrency"
 	"github.com/mimosaward/mimosaward/internal/deployment"
@@ -105,7 +107,6 @@
 		debug.SetMemoryLimit(memory / memoryLimitDivisor * memoryLimitFactor)
 	}
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(collectors.NewGoCollector())
 	watcher := &settingsWatcher{
 		file: options.Settings, log: log, hangups: hangups, stop: stopSignal(), stopChecked: make(chan struct{}), changed: make(chan deployment.Deployment, 1), last: loaded,
 	}
@@ -158,11 +159,23 @@
 // writing its response.
 const metricsTimeout = 2 * time.Second
 
+// gatherMetrics returns a gatherer of the metrics of the registry, followed by those of the Go
+// runtime: monitoring that keeps only the first bytes of a response has those of the program.
+func gatherMetrics(registry *prometheus.Registry) prometheus.Gatherer {
+	runtime := prometheus.NewRegistry()
+	runtime.MustRegister(collectors.NewGoCollector())
+	return prometheus.GathererFunc(func() ([]*dto.MetricFamily, error) {
+		own, err := registry.Gather()
+		ofRuntime, runtimeErr := runtime.Gather()
+		return append(own, ofRuntime...), errors.CombineErrors(err, runtimeErr)
+	})
+}
+
 // serveMetrics serves metrics until ctx is done. If the server fails, for example
 // because the port is in use, it logs the error and the process runs without metrics.
 func serveMetrics(ctx context.Context, address string, registry *prometheus.Registry, log *event.Logger) {
 	mux := http.NewServeMux()
-	mux.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	mux.Handle("/metrics", promhttp.HandlerFor(gatherMetrics(registry), promhttp.HandlerOpts{}))
 	server := &http.Server{Addr: address, Handler: mux, ReadHeaderTimeout: metricsTimeout, WriteTimeout: metricsTimeout}
 	group := concurrency.NewGroup(ctx)
 	group.Go(func(ctx context.Context) {
--- a/internal/gateway/collectors.go
+++ b/internal/gateway/collectors.go
@@ -21,6 +21,7 @@
 	serviceQueued          = prometheus.NewDesc("mimosaward_service_waiting", "Requests that wait for an endpoint.", []string{"service"}, nil)
 	serviceDemand          = prometheus.NewDesc("mimosaward_service_demand", "Requests a second for a service.", []string{"service"}, nil)
 	informerRevision       = prometheus.NewDesc("mimosaward_copy_revision", "Revision of the copy of a kind of the store's objects.", []string{"kind"}, nil)
+	informerAnswerAge      = prometheus.NewDesc("mimosaward_copy_answer_age_seconds", "Time since the store last answered this gateway for a kind, which also grows while a watch waits for a change.", []string{"kind"}, nil)
 	informerOutage         = prometheus.NewDesc("mimosaward_copy_lost_seconds", "Time since the store stopped to answer for a kind, 0 while it answers.", []string{"kind"}, nil)
 )
 
@@ -66,6 +67,7 @@
 // Describe implements prometheus.Collector.
 func (c *informerCollector) Describe(out chan<- *prometheus.Desc) {
 	out <- informerRevision
+	out <- informerAnswerAge
 	out <- informerOutage
 }
 
@@ -73,6 +75,9 @@
 func (c *informerCollector) Collect(out chan<- prometheus.Metric) {
 	for _, informer := range c.observer.Informers() {
 		out <- prometheus.MustNewConstMetric(informerRevision, prometheus.GaugeValue, float64(informer.Revision()), informer.Kind)
+		if answeredAt := informer.AnsweredAt(); !answeredAt.IsZero() && !informer.Passive() {
+			out <- prometheus.MustNewConstMetric(informerAnswerAge, prometheus.GaugeValue, time.Since(answeredAt).Seconds(), informer.Kind)
+		}
 		unavailableSince, _ := informer.Availability()
 		outageSeconds := 0.0
 		if !unavailableSince.IsZero() {
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -72,6 +72,8 @@
 
 	unavailableSince time.Time
 	availableSince   time.Time
+	// answeredAt is the time of the last response of the object API, zero before the first.
+	answeredAt time.Time
 }
 
 // Snapshot is a copy of all objects of a kind at a position.
@@ -110,6 +112,14 @@
 	return i.unavailableSince, i.availableSince
 }
 
+// AnsweredAt returns the time of the object API's last response, or zero before the first. A
+// pending watch may be waiting for a change since then, or its request was lost.
+func (i *Informer) AnsweredAt() time.Time {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.answeredAt
+}
+
 // Passive reports whether the informer does not read the object API.
 func (i *Informer) Passive() bool { return i.Reads != nil && !i.Reads() }
 
@@ -319,10 +329,11 @@
 
 func (i *Informer) recordAvailable() {
 	i.mu.Lock()
+	i.answeredAt = time.Now()
 	wasUnavailable := !i.unavailableSince.IsZero()
 	if wasUnavailable {
 		i.unavailableSince = time.Time{}
-		i.availableSince = time.Now()
+		i.availableSince = i.answeredAt
 	}
 	i.mu.Unlock()
 	if wasUnavailable && i.OnAvailability != nil {
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -95,7 +95,8 @@
 // AddInformer adds an informer for another kind, which calls apply after each change, and
 // returns it. Changes within delay share a watch. It must be called before Run.
 func (o *Observer) AddInformer(kind string, delay time.Duration, apply func(informer.Snapshot)) *informer.Informer {
-	added := &informer.Informer{
+	var added *informer.Informer
+	added = &informer.Informer{
 		Kind: kind, CoalesceDelay: delay, List: o.List, Watch: o.Watch, Reads: o.Reads, MaxValueBytes: maxEntryBytes,
 		OnChange: func(snapshot informer.Snapshot) {
 			apply(snapshot)
@@ -111,7 +112,11 @@
 				o.Log.Emit(event.StoreReachable, event.Fields{"kind": kind})
 				return
 			}
-			o.Log.Emit(event.StoreUnreachable, event.Fields{"kind": kind, "error": err.Error()})
+			fields := event.Fields{"kind": kind, "error": err.Error()}
+			if answeredAt := added.AnsweredAt(); !answeredAt.IsZero() {
+				fields["unansweredMs"] = time.Since(answeredAt).Milliseconds()
+			}
+			o.Log.Emit(event.StoreUnreachable, fields)
 		},
 	}
 	o.informers = append(o.informers, added)
