--- a/internal/peering/sharedstore_test.go
+++ b/internal/peering/sharedstore_test.go
@@ -29,6 +29,8 @@
 	done     chan struct{}
 	// silent is closed when the open watches fall silent.
 	silent chan struct{}
+	// answersNobody is true while new calls are accepted and never answered.
+	answersNobody bool
 }
 
 // storeBackup is a copy of a store's contents.
@@ -132,7 +134,32 @@
 	s.silent = make(chan struct{})
 }
 
+// setAnswersNobody begins or ends an outage in which new calls are accepted and never answered.
+func (s *sharedStore) setAnswersNobody(answersNobody bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answersNobody = answersNobody
+}
+
+// awaitAnswer returns an error when the caller gives up a call that is never answered.
+func (s *sharedStore) awaitAnswer(ctx context.Context) error {
+	s.mu.Lock()
+	lost := s.answersNobody
+	s.mu.Unlock()
+	if !lost {
+		return nil
+	}
+	select {
+	case <-ctx.Done():
+	case <-s.done:
+	}
+	return errCutOff
+}
+
 func (s *sharedStore) list(ctx context.Context, process, kind string) (informer.Page, error) {
+	if err := s.awaitAnswer(ctx); err != nil {
+		return informer.Page{}, err
+	}
 	s.mu.Lock()
 	cutOff := s.cutOff[process]
 	objects := slices.SortedFunc(maps.Values(s.objects[kind]), func(a, b informer.Object) int { return cmp.Compare(a.Name, b.Name) })
@@ -149,6 +176,9 @@
 }
 
 func (s *sharedStore) watch(ctx context.Context, process, kind string, after int64) (informer.Batch, error) {
+	if err := s.awaitAnswer(ctx); err != nil {
+		return informer.Batch{}, err
+	}
 	s.mu.Lock()
 	silent := s.silent
 	s.mu.Unlock()
--- a/internal/peering/spreadfault_test.go
+++ b/internal/peering/spreadfault_test.go
@@ -122,6 +122,35 @@
 	})
 }
 
+// Guards against readers that wait for watches which a silent store accepted and never answers:
+// all other gateways depend on a few readers.
+func TestChangesSpreadAfterStoreFellSilent(t *testing.T) {
+	forEachFleet(t, func(t *testing.T, f *runningFleet) {
+		f.startAll()
+		var spread worst
+		for _, outage := range []time.Duration{900 * time.Millisecond, 2200 * time.Millisecond, 4 * time.Second, 8300 * time.Millisecond} {
+			f.store.write(configurationKind, "main")
+			added := f.store.write(endpointKind, "endpoint")
+			time.Sleep(time.Second)
+			f.store.write(configurationKind, "main")
+			f.store.write(endpointKind, "other")
+			time.Sleep(20 * time.Millisecond)
+			f.store.setAnswersNobody(true)
+			time.Sleep(outage)
+			f.store.setAnswersNobody(false)
+			endedAt := time.Now()
+			time.Sleep(700 * time.Millisecond)
+			revision := f.store.write(configurationKind, "main")
+			f.store.remove(endpointKind, "endpoint")
+			f.measure(func(g *fleetGateway) bool {
+				return g.hasObject(configurationKind, "main", revision) && !g.hasObject(endpointKind, "endpoint", added)
+			})
+			spread.add(time.Since(endedAt))
+		}
+		spread.require(t, "changes after the store was silent", contactTime)
+	})
+}
+
 // delegates returns the gateways of a cell that report to another one, which the rendezvous
 // order of all its live gateways determines.
 func (f *runningFleet) delegates(cells *peering.Cells, from, to string) []*fleetGateway {
