informer: verify that the store answers watches

Callers were served by configurations that the store had replaced seconds before, with keys that had been revoked, and by endpoints that had said that they leave.

Cause: a store that falls silent accepts the request of a watch and never answers it. Its connection stays alive, so keep-alive probes find nothing, and the client waited for as long as the store may keep a watch open without changes, 33 s with the margin. After each change the watch is sent again, so a change right before the outage exposes all readers of the kind at the same time, and every other gateway depends on them.

Change: only a response shows that the store received a watch, so one reader of each cell, per kind, lets its watches end after 1.5 s. The others keep long ones, which a store bills less for, and abandon them when a copy of the cell shows that they missed a change, or when they have to verify themselves. Lists are requested again after 1.5 s without a response, while the first request goes on. The pause after a failed call includes the time of the call. A watch that returned no changes is followed by one from the same revision: if it should have reported a change, the next one does.

--- a/internal/informer/era_test.go
+++ b/internal/informer/era_test.go
@@ -145,7 +145,9 @@
 			}
 			return informer.Page{Era: era, Revision: 7, Objects: slices.Collect(maps.Values(objects))}, nil
 		}
-		inf.Watch = func(ctx context.Context, _ string, after int64) (informer.Batch, error) {
+		// Other processes verify the copy, so that a watch stays open.
+		inf.Verifies = func() bool { return false }
+		inf.Watch = func(ctx context.Context, _ string, _ int64, _ time.Duration) (informer.Batch, error) {
 			number := watches.Add(1)
 			if number == 1 {
 				// The store returned from an older copy while the watch was open.
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -34,11 +34,15 @@
 	CoalesceDelay time.Duration
 	// List returns a page of the objects whose names sort after the given name.
 	List func(ctx context.Context, kind, after string) (Page, error)
-	// Watch returns the changes after a revision. It blocks until there is a change.
-	Watch func(ctx context.Context, kind string, after int64) (Batch, error)
+	// Watch returns the changes after a revision. It blocks until there is a change, or returns
+	// none after the wait.
+	Watch func(ctx context.Context, kind string, after int64, wait time.Duration) (Batch, error)
 	// Reads reports whether this process reads the object API. If not, the copy changes
 	// only through AdoptSnapshot. A nil Reads means true.
 	Reads func() bool
+	// Verifies reports whether this process verifies, for a group that exchanges its copies, that
+	// the object API answers watches. A nil Verifies means true.
+	Verifies func() bool
 	// Sequence returns the order of an object's content among its states, and false if it has
 	// none. A nil Sequence means that no object has one.
 	Sequence func(Object) (Sequence, bool)
@@ -148,17 +152,21 @@
 
 // Run keeps the copy synchronized until ctx is done.
 func (i *Informer) Run(ctx context.Context) {
+	calls := concurrency.NewGroup(ctx)
+	defer calls.Wait()
 	backoff, expired := minBackoff, false
 	for ctx.Err() == nil {
 		if i.Passive() {
 			concurrency.Tick(ctx, passiveInterval)
 			continue
 		}
-		watches := i.canWatch()
-		err := i.syncOnce(ctx)
+		watches, begun := i.canWatch(), time.Now()
+		err := i.syncOnce(ctx, calls)
 		switch {
 		case ctx.Err() != nil:
 			return
+		case errors.Is(err, errAbandoned):
+			continue
 		case errors.Is(err, ErrExpired) && !expired:
 			expired = true
 			i.requestRelist()
@@ -170,24 +178,24 @@
 		i.recordUnavailable(err)
 		// A broken watch may have missed changes, and the next watch may miss them too.
 		i.requestRelist()
-		concurrency.Sleep(ctx, backoff/2+rand.N(backoff))
+		concurrency.Sleep(ctx, backoff/2+rand.N(backoff)-time.Since(begun))
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
 // syncOnce lists the kind if there is no copy to continue from or a relist is
 // required. Otherwise it waits for one batch of changes and applies it.
-func (i *Informer) syncOnce(ctx context.Context) error {
+func (i *Informer) syncOnce(ctx context.Context, calls *concurrency.Group) error {
 	if !i.canWatch() {
-		return i.list(ctx)
+		return i.list(ctx, calls)
 	}
-	position := i.Position()
-	batch, err := i.Watch(ctx, i.Kind, position.Revision)
+	from := i.Position()
+	batch, err := i.watch(ctx, calls, from)
 	if err != nil {
 		return err
 	}
 	i.recordAvailable()
-	if batch.Era != position.Era {
+	if batch.Era != from.Era {
 		// The revision from which the watch began is another one in this era.
 		return ErrExpired
 	}
@@ -212,11 +220,11 @@
 	return i.synced && !i.relist
 }
 
-func (i *Informer) list(ctx context.Context) error {
+func (i *Informer) list(ctx context.Context, calls *concurrency.Group) error {
 	objects := map[string]Object{}
 	position, after := Position{}, ""
 	for {
-		page, err := i.List(ctx, i.Kind, after)
+		page, err := i.listPage(ctx, calls, after)
 		if err != nil {
 			return err
 		}
@@ -263,10 +271,12 @@
 }
 
 // apply merges a batch into the copy and reports whether the copy changed. The batch may
-// begin before the revision of the copy if a snapshot was adopted during the watch.
+// begin before the revision of the copy if a snapshot was adopted during the watch. After a
+// batch without changes, the next watch begins at the same revision: what this one should have
+// reported and did not is then reported, as long as the store has it.
 func (i *Informer) apply(batch Batch) bool {
 	i.mu.Lock()
-	if i.position.After(Position{Era: batch.Era, Revision: batch.Revision}) {
+	if i.position.After(Position{Era: batch.Era, Revision: batch.Revision}) || len(batch.Changes) == 0 {
 		i.mu.Unlock()
 		return false
 	}
--- a/internal/peering/fleetgateway_test.go
+++ b/internal/peering/fleetgateway_test.go
@@ -76,8 +76,9 @@
 			List: func(ctx context.Context, kind, _ string) (informer.Page, error) {
 				return f.store.list(ctx, g.member.Name, kind)
 			},
-			Watch: func(ctx context.Context, kind string, after int64) (informer.Batch, error) {
-				return f.store.watch(ctx, g.member.Name, kind, after)
+			Verifies: func() bool { return g.table.Verifies(kind) },
+			Watch: func(ctx context.Context, kind string, after int64, wait time.Duration) (informer.Batch, error) {
+				return f.store.watch(ctx, g.member.Name, kind, after, wait)
 			},
 		}
 		if kind == memberKind {
--- a/internal/peering/reader.go
+++ b/internal/peering/reader.go
@@ -16,6 +16,8 @@
 	readerTimeout = 800 * time.Millisecond
 	// readerKey is the key of the rendezvous order of readers.
 	readerKey = "reader"
+	// verifierKey is the start of the keys of the orders of readers that verify copies.
+	verifierKey = "verifier/"
 	// takeoverDelay is the delay, per rank, before another gateway reads the object store
 	// in place of readers that do not.
 	takeoverDelay = 400 * time.Millisecond
@@ -55,6 +57,27 @@
 	return now.Sub(t.reader.missingSince) > time.Duration(before-required+1)*takeoverDelay
 }
 
+// Verifies reports whether this gateway verifies that the object store answers watches of a kind:
+// the first reader of its cell in an order that differs between kinds. The gateways of a cell
+// fetch from each other what their own watches have missed.
+func (t *Table) Verifies(kind string) bool {
+	key := verifierKey + kind
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	score := membership.Score(key, t.Self.Name)
+	cells := t.currentCells()
+	ownCell := cells.Of(t.Self.Name)
+	for name, entry := range t.peers {
+		digest := &entry.peer.Digest
+		reads := digest.ReadsStore && !digest.Stopping && now.Sub(entry.peer.ReceivedAt) <= readerTimeout
+		if reads && cells.Of(name) == ownCell && membership.Score(key, name) > score {
+			return false
+		}
+	}
+	return true
+}
+
 // requiredReaders returns the number of readers of each group of the region: one, or more if
 // the region has fewer cells than readersPerRegion. The caller must hold mu.
 func (t *Table) requiredReaders() int {
--- a/internal/peering/reader_test.go
+++ b/internal/peering/reader_test.go
@@ -61,3 +61,48 @@
 		})
 	}
 }
+
+// Guards against a cell without a gateway that verifies the watches of a kind, which would then
+// be believed although the store never answers them, and against several that do so at the
+// expense of the store.
+func TestOneReaderOfEachCellVerifies(t *testing.T) {
+	for _, count := range []int{12, 30} {
+		synctest.Test(t, func(t *testing.T) {
+			network := fakes.NewNetwork()
+			var nodes []*node
+			for index := range count {
+				nodes = append(nodes, startNode(t, network, index, 1))
+			}
+			// verifiers returns the gateways of each cell that verify a kind.
+			verifiers := func(kind string) map[string][]*node {
+				byCell := map[string][]*node{}
+				for _, n := range nodes {
+					if n.readsStore() && n.table.Verifies(kind) {
+						cell := nodes[0].table.Cells().Of(n.table.Self.Name)
+						byCell[cell] = append(byCell[cell], n)
+					}
+				}
+				return byCell
+			}
+			require := func(when string) {
+				for _, kind := range []string{"configuration", "endpoints", "evacuations", "rollouts"} {
+					for _, cell := range nodes[0].table.Cells().Names() {
+						if found := verifiers(kind)[cell]; len(found) != 1 {
+							t.Errorf("%d gateways, %s: %d of cell %s verify %s, want 1", count, when, len(found), cell, kind)
+						}
+					}
+				}
+			}
+			time.Sleep(8 * time.Second)
+			require("at first")
+			for _, found := range verifiers("endpoints") {
+				found[0].cutOff.Store(true)
+			}
+			time.Sleep(2500 * time.Millisecond)
+			require("after those that verified endpoints were cut off")
+			for index, n := range nodes {
+				n.stop(network, index)
+			}
+		})
+	}
+}
--- a/internal/peering/sharedstore_test.go
+++ b/internal/peering/sharedstore_test.go
@@ -175,13 +175,15 @@
 	return page, nil
 }
 
-func (s *sharedStore) watch(ctx context.Context, process, kind string, after int64) (informer.Batch, error) {
+func (s *sharedStore) watch(ctx context.Context, process, kind string, after int64, wait time.Duration) (informer.Batch, error) {
 	if err := s.awaitAnswer(ctx); err != nil {
 		return informer.Batch{}, err
 	}
 	s.mu.Lock()
 	silent := s.silent
 	s.mu.Unlock()
+	waited := time.NewTimer(wait)
+	defer waited.Stop()
 	for {
 		batch, changed, cutOff := s.changesAfter(process, kind, after)
 		switch {
@@ -197,6 +199,8 @@
 		case <-silent:
 			concurrency.Sleep(ctx, keepAliveTimeout)
 			return informer.Batch{}, errCutOff
+		case <-waited.C:
+			return batch, nil
 		case <-changed:
 		case <-s.done:
 			return informer.Batch{}, errCutOff
--- a/internal/storewatch/endpoints_test.go
+++ b/internal/storewatch/endpoints_test.go
@@ -55,7 +55,9 @@
 	return page, nil
 }
 
-func (s *objectStore) watch(ctx context.Context, kind string, after int64) (informer.Batch, error) {
+func (s *objectStore) watch(ctx context.Context, kind string, after int64, wait time.Duration) (informer.Batch, error) {
+	waited := time.NewTimer(wait)
+	defer waited.Stop()
 	for {
 		s.mu.Lock()
 		batch, changed := informer.Batch{Revision: s.revision}, s.changed
@@ -70,6 +72,8 @@
 		}
 		select {
 		case <-changed:
+		case <-waited.C:
+			return batch, nil
 		case <-ctx.Done():
 			return informer.Batch{}, ctx.Err()
 		}
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -42,10 +42,13 @@
 // call Init before any other method; the methods are safe for concurrent use.
 type Observer struct {
 	List  func(ctx context.Context, kind, after string) (informer.Page, error)
-	Watch func(ctx context.Context, kind string, after int64) (informer.Batch, error)
+	Watch func(ctx context.Context, kind string, after int64, wait time.Duration) (informer.Batch, error)
 	// Reads reports whether this process reads the object API itself instead of receiving
 	// copies from others; nil means that it does.
 	Reads func() bool
+	// Verifies reports whether this process verifies the copies of a kind for the others; nil
+	// means that it does.
+	Verifies func(kind string) bool
 	// Reserved reports whether an address belongs to a process other than an endpoint; nil means
 	// that none does.
 	Reserved func(address string) bool
@@ -119,6 +122,9 @@
 			o.Log.Emit(event.StoreUnreachable, fields)
 		},
 	}
+	if o.Verifies != nil {
+		added.Verifies = func() bool { return o.Verifies(kind) }
+	}
 	o.informers = append(o.informers, added)
 	return added
 }
