--- a/internal/integration/silentstore_test.go
+++ b/internal/integration/silentstore_test.go
@@ -18,7 +18,7 @@
 	addedKey   = "added-key"
 )
 
-// setKeys gives the workspace one key beside its first.
+// setKey gives the workspace one key beside its first, in place of any other.
 func (i *installation) setKey(key string) {
 	i.configure(func(state *platformtest.DesiredState) {
 		state.Workspaces = []platformtest.Workspace{{Name: "aso", APIKeys: []string{apiKey, key}}}
@@ -35,7 +35,7 @@
 	i.endpoints["booking-2-0"].Heartbeat()
 }
 
-// statuses returns the statuses of the responses of a gateway to a request with a key.
+// statusWithKey returns the status of a gateway's response to a request with a key.
 func (i *installation) statusWithKey(zone int, key string) int {
 	call := i.call(zone, statusPath)
 	call.APIKey = key
@@ -43,7 +43,8 @@
 }
 
 // requireChangesInForce changes what the store holds of every kind and fails the test unless the
-// gateways use it contactTime after the end of an outage, or within the bound of the kind.
+// gateways use it contactTime after the end of an outage, or at the bound of the kind if that is
+// later.
 func (i *installation) requireChangesInForce(outageEnd time.Time, gateways ...int) {
 	i.t.Helper()
 	draining, evacuated := i.endpoints["booking-0-0"], i.endpoints["booking-1-0"]
