loader: metrics and logs show the requests to the origin

What callers saw: after a loss of power no engine got weights. Whether the origin refused the loaders, or they did not ask it, could not be read from their logs: a failed manifest is logged every tenth time, a failed chunk not at all, and nothing counted connections.

Change: requests to the origin are counted by purpose and result, connections by themselves; event 3018 gives the counts at most once a second while requests fail. No logic changes.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -91,6 +91,7 @@
 	GatewaysReachable   = Event{3015, logrus.InfoLevel, "requests from a gateway received again", noAction}
 	FetchFailed         = Event{3016, logrus.WarnLevel, "weight set could not be fetched, will retry", "Check the error in the record; the manifest was received."}
 	ManifestReplaced    = Event{3017, logrus.WarnLevel, "manifest replaced during its fetch, since another source has a different one", "If this repeats, check what the origin sends: its manifest and its chunks did not match."}
+	OriginFailed        = Event{3018, logrus.WarnLevel, "request to the origin failed; the record counts requests and connections since the last such event", "If many loaders write this, the origin is down or more instances ask it than it accepts."}
 	RolloutAbandoned    = Event{3011, logrus.InfoLevel, "weight set replaced before it was complete", noAction}
 )
 
@@ -130,7 +131,7 @@
 		ConfigurationApplied, ObjectUnreadable, ZoneEvacuated, ZoneReturned, RolloutRequested, StoreRestored,
 		GatewayAlive, GatewayUnresponsive, SnapshotAdopted, SnapshotFailed,
 		RolloutStarted, SetComplete, ChunkCorrupt, PeerExcluded, LoadOrdered, LoadFailed, LoadCompleted, ManifestFailed,
-		ChunkMemoryTooSmall, SwapWaiting, RolloutAbandoned, EngineUnreachable, EngineReachable, GatewaysUnreachable, GatewaysReachable, FetchFailed, ManifestReplaced,
+		ChunkMemoryTooSmall, SwapWaiting, RolloutAbandoned, EngineUnreachable, EngineReachable, GatewaysUnreachable, GatewaysReachable, FetchFailed, ManifestReplaced, OriginFailed,
 		EndpointCold, ResponseMismatched, StreamResumed, StreamAborted, OutcomeUnknown, LoaderUnreachable, LoaderReachable, RequestSent, RequestEnded, RequestRefused, AttemptFailed, EndpointLent, EndpointNotLent, LenderUnreachable,
 		CrashSuspected, CrashConfirmed, PartRejected, PartAdmitted, PartTried, RequestPanicked, EndpointAnnounced, TurnedAway, AttemptWithdrawn, RequestCut,
 	}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -55,6 +55,7 @@
 	failures       chan error
 	engine         *platform.Engine
 	origin         *platform.Origin
+	originRequests *originRequests
 	store          *weights.Store
 	fetcher        *p2p.Fetcher
 	transport      *transport.Transport
@@ -137,7 +138,8 @@
 	l.originSemaphore.Limit = originInFlight
 	l.servingPeers.Store(&[]membership.Instance{})
 	l.engine = platform.NewEngine(l.Deployment.Endpoint.Address, l.Dial)
-	l.origin = platform.NewOrigin(l.Dial)
+	l.originRequests = newOriginRequests(l.Registry, l.Log)
+	l.origin = platform.NewOrigin(l.originRequests.countConnections(l.Dial))
 	l.store = weights.NewStore(chunkMemoryLimit)
 	l.transport = (&transport.Transport{
 		Dial: l.Dial, Timeout: peerTimeout, LinkRate: l.Deployment.Resources.LinkBytesPerSecond,
--- a/internal/loader/manifest.go
+++ b/internal/loader/manifest.go
@@ -181,6 +181,7 @@
 // downloadManifest downloads the manifest from the origin once.
 func (l *Loader) downloadManifest(ctx context.Context, plan Plan, wanted modelVersion) (*weights.Manifest, error) {
 	answer, err := l.origin.Manifest(ctx, plan.Model.Origin, wanted.model, wanted.version)
+	l.originRequests.record(purposeManifest, err)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/loader/origin.go
+++ b/internal/loader/origin.go
@@ -115,6 +115,7 @@
 	}
 	defer l.originSemaphore.Release()
 	data, err := l.origin.Chunk(ctx, plan.Model.Origin, location.model, location.version, location.chunk)
+	l.originRequests.record(purposeChunk, err)
 	if err != nil {
 		return nil, err
 	}
