platform: close idle connections to the origin soon

Cause: loaders kept connections to the origin for 10 s after their last request. The origin accepts 48. A loss of power closes none of them, so that the origin went on counting them and rejected the loaders that came back: no manifest, no chunks, no weights, no engine.

Evidence: with counters of the requests to the origin, four loaders alone asked at first and were rejected; nothing was answered from 36 to 59 s.

Change: idle connections to the origin are closed after 100 ms, which is enough to fetch the next chunk on the same one.

The new test fails without the change: no engine has weights 12 s after the loss.

--- a/internal/integration/installation_test.go
+++ b/internal/integration/installation_test.go
@@ -71,16 +71,18 @@
 
 // installation contains the gateways, loaders and endpoints of one synctest bubble.
 type installation struct {
-	t         *testing.T
-	network   *fakes.Network
-	store     *platformtest.Store
-	origin    *platformtest.Origin
-	fakeGroup *concurrency.Group
-	state     platformtest.DesiredState
-	endpoints map[string]*platformtest.Endpoint
-	processes map[string]*process
-	attempts  int
-	metrics   map[string]*prometheus.Registry
+	t       *testing.T
+	network *fakes.Network
+	store   *platformtest.Store
+	origin  *platformtest.Origin
+	// originListener accepts the connections to the origin.
+	originListener *cappedListener
+	fakeGroup      *concurrency.Group
+	state          platformtest.DesiredState
+	endpoints      map[string]*platformtest.Endpoint
+	processes      map[string]*process
+	attempts       int
+	metrics        map[string]*prometheus.Registry
 }
 
 // process is a running gateway or loader.
@@ -110,7 +112,7 @@
 		endpoints: map[string]*platformtest.Endpoint{}, processes: map[string]*process{}, metrics: map[string]*prometheus.Registry{},
 	}
 	i.serveFake("store", storeAddress, i.store.Handle)
-	i.serveFake("origin", originAddress, i.origin.Handle)
+	i.serveOrigin()
 	for zone := range zoneCount {
 		i.startBookingService(zone, 0)
 		i.startEngine(zone, 0, 1)
@@ -132,7 +134,7 @@
 				Layers: engineConfig.Layers, Chunks: chunkCount, ChunkBytes: chunkBytes, MeanTokens: platformtest.MeanTokens{Prompt: 500, Answer: 50},
 				Models: []platformtest.ModelEntry{{Name: modelName, LoadTime: 0.3}},
 			}},
-			{Name: "office", Origin: originAddress, Zone: zoneName(0), LinkMbps: 100, MaxConns: 48},
+			{Name: "office", Origin: originAddress, Zone: zoneName(0), LinkMbps: 100, MaxConns: maxOriginConns},
 		},
 		Workspaces: []platformtest.Workspace{{Name: "aso", APIKeys: []string{apiKey}}},
 		Limits:     platformtest.Limits{HeaderBytes: 8 << 10, BodyBytes: 64 << 10},
