loader: take turns at the origin for a manifest

Cause: three seconds after the first loaders of the tree had failed, all loaders requested the manifest from the origin, each time over up to four connections per request and six requests, and again after 0.4 s at most. A loader whose engine was not in the plan yet took itself for the root.

--- a/internal/agent/origin.go
+++ b/internal/agent/origin.go
@@ -56,7 +56,8 @@
 }
 
 func (a *Agent) fetchManifestData(ctx context.Context, digest weights.Digest, members []membership.Instance, attempt int) ([]byte, error) {
-	parent, ok := transport.ManifestParent(digest.String(), a.base.Self.Name, members)
+	tree := transport.NewManifestTree(digest.String(), members)
+	parent, ok := tree.Parent(tree.Rank(a.base.Self.Name))
 	if !ok || attempt >= maxManifestPeerAttempts {
 		return a.readFromOrigin(ctx, "/manifests/"+digest.String())
 	}
--- a/internal/loader/manifest.go
+++ b/internal/loader/manifest.go
@@ -28,6 +28,11 @@
 	// manifestRoots is the number of instances that request a manifest from the origin
 	// after manifestParentTimeout: the root of the tree and those that replace it.
 	manifestRoots = 3
+	// After manifestOriginTimeout the other instances take turns at the origin, groups of
+	// originGroup for originTurn each, so that those that it rejects do not keep out those that
+	// could pass the manifest on.
+	originGroup = 8
+	originTurn  = maxManifestRetryDelay
 	// minManifestRetryDelay and maxManifestRetryDelay bound the delay between attempts,
 	// which starts at about the time in which the parent receives the manifest.
 	minManifestRetryDelay = 50 * time.Millisecond
@@ -83,7 +88,7 @@
 // first the parent in the tree over the members, then in turn the instances that serve the
 // version and the first instances of the tree. The root requests it from the origin at
 // once, the instances that may replace it after manifestParentTimeout, and the others
-// after manifestOriginTimeout.
+// in turns after manifestOriginTimeout.
 func (l *Loader) manifestPeer(plan Plan, wanted modelVersion, attempt int, waited time.Duration) (membership.Instance, bool) {
 	sources := l.manifestSources(plan, wanted)
 	switch {
@@ -91,7 +96,7 @@
 		return membership.Instance{}, false
 	case waited < manifestParentTimeout:
 		return sources.parent, true
-	case !sources.isRoot && waited < manifestOriginTimeout:
+	case !sources.hasOriginTurn(waited):
 		return sources.others[attempt%len(sources.others)], true
 	}
 	return membership.Instance{}, false
@@ -102,23 +107,39 @@
 	// parent is the parent in the tree over the members, unless this instance is its root.
 	parent    membership.Instance
 	hasParent bool
-	// isRoot reports whether this instance is among the first manifestRoots of the tree.
-	isRoot bool
+	// rank is the position of this instance in the tree, count the number of instances there.
+	rank, count int
 	// others are instances that serve the version, and the first ones of the tree.
 	others []membership.Instance
 }
 
+// isRoot reports whether the instance is among the first manifestRoots of the tree.
+func (s *manifestSources) isRoot() bool { return s.rank < manifestRoots }
+
+// hasOriginTurn reports whether an instance that has waited longer than manifestParentTimeout may
+// request the manifest from the origin.
+func (s *manifestSources) hasOriginTurn(waited time.Duration) bool {
+	if s.isRoot() || waited < manifestOriginTimeout {
+		return s.isRoot()
+	}
+	groups := (s.count + originGroup - 1) / originGroup
+	return int((waited-manifestOriginTimeout)/originTurn)%groups == s.rank/originGroup
+}
+
 func (l *Loader) manifestSources(plan Plan, wanted modelVersion) manifestSources {
-	key, self := manifestKey(wanted), l.self().Name
+	key, self := manifestKey(wanted), l.self()
 	members := filterInstances(plan.Members.Instances, allMembers)
-	var sources manifestSources
-	sources.parent, sources.hasParent = transport.ManifestParent(key, self, members)
-	roots := transport.ManifestRoots(key, members, manifestRoots)
-	sources.isRoot = slices.ContainsFunc(roots, func(root membership.Instance) bool { return root.Name == self })
+	if !slices.ContainsFunc(members, func(member membership.Instance) bool { return member.Name == self.Name }) {
+		// An instance whose engine is not registered yet must not take itself for the root.
+		members = append(members, self)
+	}
+	tree := transport.NewManifestTree(key, members)
+	sources := manifestSources{rank: tree.Rank(self.Name), count: len(members)}
+	sources.parent, sources.hasParent = tree.Parent(sources.rank)
 	serving := filterInstances(plan.Members.Instances, func(member Member) bool {
-		return member.Version == wanted.version && wanted.version > 0 && member.Instance.Name != self
+		return member.Version == wanted.version && wanted.version > 0 && member.Instance.Name != self.Name
 	})
-	sources.others = slices.Concat(membership.TopRanked(self, serving, manifestRoots), roots)
+	sources.others = slices.Concat(membership.TopRanked(self.Name, serving, manifestRoots), tree.Roots(manifestRoots))
 	return sources
 }
 
--- a/internal/loader/recheck.go
+++ b/internal/loader/recheck.go
@@ -111,7 +111,7 @@
 func (l *Loader) requestOtherManifest(ctx context.Context, wanted modelVersion, attempt int, mismatched bool) (*weights.Manifest, error) {
 	plan, _ := l.plans.current()
 	sources := l.manifestSources(plan, wanted)
-	if mismatched || sources.isRoot || !sources.hasParent {
+	if mismatched || sources.isRoot() {
 		return l.requestFromOrigin(ctx, plan, wanted)
 	}
 	candidates := slices.Concat(sources.others, []membership.Instance{sources.parent})
--- a/internal/transport/manifest.go
+++ b/internal/transport/manifest.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/url"
+	"slices"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -70,23 +71,34 @@
 // CacheManifest caches an encoded manifest, to serve it to other instances.
 func (t *Transport) CacheManifest(key string, encoded []byte) { t.manifests.put(key, encoded) }
 
-// ManifestParent returns the parent of self in the distribution tree of a manifest over
-// the members, and false for the root. Only the root fetches the manifest from the
-// origin, so the origin sends it about once.
-func ManifestParent(key string, self string, members []membership.Instance) (membership.Instance, bool) {
-	ranked := membership.Rank("manifest/"+key, members)
-	for index, member := range ranked {
-		if member.Name == self && index > 0 {
-			return ranked[(index-1)/manifestFanOut], true
-		}
+// ManifestTree is the distribution tree of a manifest over instances. Only the root requests the
+// manifest from the origin, so that the origin sends it about once.
+type ManifestTree struct {
+	// ranked holds the instances; the children of one follow it.
+	ranked []membership.Instance
+}
+
+// NewManifestTree returns the distribution tree of a manifest over the members.
+func NewManifestTree(key string, members []membership.Instance) *ManifestTree {
+	return &ManifestTree{ranked: membership.Rank("manifest/"+key, members)}
+}
+
+// Rank returns the position of a member in the tree; the root's is 0.
+func (t *ManifestTree) Rank(name string) int {
+	return slices.IndexFunc(t.ranked, func(member membership.Instance) bool { return member.Name == name })
+}
+
+// Parent returns the parent of the member at a position, and false for the root.
+func (t *ManifestTree) Parent(rank int) (membership.Instance, bool) {
+	if rank <= 0 {
+		return membership.Instance{}, false
 	}
-	return membership.Instance{}, false
+	return t.ranked[(rank-1)/manifestFanOut], true
 }
 
-// ManifestRoots returns the first instances of the distribution tree of a manifest: the root
-// and those that replace it if it fails.
-func ManifestRoots(key string, members []membership.Instance, count int) []membership.Instance {
-	return membership.TopRanked("manifest/"+key, members, count)
+// Roots returns the first instances of the tree: the root and those that replace it if it fails.
+func (t *ManifestTree) Roots(count int) []membership.Instance {
+	return slices.Clone(t.ranked[:min(count, len(t.ranked))])
 }
 
 // FetchManifest fetches an encoded manifest from another instance.
