gateway: a suspended gateway withdraws nothing because of silence

Cause: the time without a sign of an engine went on while the gateway could not read.

Evidence: TestSuspendedGatewayWithdrawsNothing fails without the change.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -116,7 +116,7 @@
 	PartAdmitted       = Event{4111, logrus.InfoLevel, "requests with a prompt part or fingerprint are admitted again after one was answered", noAction}
 	PartTried          = Event{4112, logrus.InfoLevel, "single request with a refused prompt part or fingerprint sent to find out whether engines still end", noAction}
 	EndpointAnnounced  = Event{4114, logrus.InfoLevel, "endpoint announced a change of its request limit, or that it is leaving", "If an endpoint keeps a limit, check what it lacks."}
-	AttemptWithdrawn   = Event{4116, logrus.InfoLevel, "request withdrawn from an endpoint that had not begun it when it had to", "If this repeats for an endpoint, check why it is silent."}
+	AttemptWithdrawn   = Event{4116, logrus.InfoLevel, "request withdrawn from an endpoint that had not begun it in time", "If this repeats for an endpoint, check why it is silent."}
 	TurnedAway         = Event{4115, logrus.InfoLevel, "endpoint turned this gateway away for a time", "If this repeats for an endpoint, check its load."}
 	RequestCut         = Event{4120, logrus.WarnLevel, "request cut off by the exit of the process", "If this repeats, check that the grace period exceeds the time that requests take."}
 	RequestPanicked    = Event{4113, logrus.ErrorLevel, "request panicked", "Report a bug with the stack in the record; only that request failed."}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,14 +80,16 @@
 	lender       *lender
 	tasks        *concurrency.Group
 	// failures receives the failure of a component without which the gateway must not run.
-	failures      chan error
-	pool          *connpool.Pool
-	bodies        *connpool.Budget
-	retries       *retry.Budget
-	bounds        atomic.Pointer[deployment.Bounds]
-	metrics       *gatewayMetrics
-	requests      requestTracker
-	activity      endpointActivity
+	failures chan error
+	pool     *connpool.Pool
+	bodies   *connpool.Budget
+	retries  *retry.Budget
+	bounds   atomic.Pointer[deployment.Bounds]
+	metrics  *gatewayMetrics
+	requests requestTracker
+	activity endpointActivity
+	// suspension belongs to the regular check of the pending attempts.
+	suspension    suspension
 	connections   connectionTracker
 	retryDetector retryDetector
 	store         *platform.Store
--- a/internal/gateway/withdraw.go
+++ b/internal/gateway/withdraw.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,14 +31,20 @@
 var errWithdrawn = errors.New("the request was withdrawn from the endpoint")
 
 // withdrawExpired withdraws the pending attempts whose permission to run has ended, and those that
-// wait for a silent endpoint.
+// wait for a silent endpoint. Only one goroutine may call it.
 func (g *Gateway) withdrawExpired() {
+	now := time.Now()
+	silentSince := now.Add(-maxSilence)
+	listening := g.suspension.check(now).Before(silentSince)
 	for _, r := range g.requests.all() {
 		pending := r.pending.Load()
 		if pending == nil {
 			continue
 		}
-		ended := cmp.Or(g.endedPermission(pending), g.endlessSilence(pending))
+		ended := g.endedPermission(pending)
+		if ended == "" && listening && g.waitsInSilence(pending, silentSince) {
+			ended = endpointSilent
+		}
 		if ended == "" || !pending.withdraw() {
 			continue
 		}
@@ -82,17 +87,13 @@
 	}
 }
 
-// endlessSilence returns endpointSilent if the attempt is not worth waiting for: nothing arrived from
-// its endpoint for maxSilence, and another endpoint may run the request. A caller that waits
-// for a silent endpoint until it gives up cannot be served any more, and the endpoint runs what it
-// had read when it goes on. A gateway that stops waits on: a planned stop is no reason to answer
-// what it has accepted with an error.
-func (g *Gateway) endlessSilence(pending *pendingAttempt) string {
-	since := time.Now().Add(-maxSilence)
-	if !pending.replaceable || pending.sentAt.After(since) || g.drain.started() || g.activity.receivedSince(pending.grant.Endpoint.ID, since) {
-		return ""
-	}
-	return endpointSilent
+// waitsInSilence reports whether an attempt is not worth waiting for: it was sent before the given
+// time, nothing has arrived from its endpoint since, and another endpoint may run the request. A
+// caller that waits for a silent endpoint until it gives up cannot be served any more, and the
+// endpoint runs what it had read when it goes on. A gateway that stops waits on: a planned stop is no
+// reason to answer what it has accepted with an error.
+func (g *Gateway) waitsInSilence(pending *pendingAttempt, since time.Time) bool {
+	return pending.replaceable && pending.sentAt.Before(since) && !g.drain.started() && !g.activity.receivedSince(pending.grant.Endpoint.ID, since)
 }
 
 // expired reports whether a bound on what the object store confirmed is about to pass. since is
--- a/internal/gateway/withdraw_test.go
+++ b/internal/gateway/withdraw_test.go
@@ -17,6 +17,7 @@
 	"github.com/mimosaward/mimosaward/internal/connpool"
 	"github.com/mimosaward/mimosaward/internal/deployment"
 	"github.com/mimosaward/mimosaward/internal/dispatch"
+	"github.com/mimosaward/mimosaward/internal/event"
 	"github.com/mimosaward/mimosaward/internal/storewatch"
 	"github.com/mimosaward/mimosaward/platform"
 )
@@ -104,3 +105,41 @@
 		}
 	})
 }
+
+// Guards against sound work that is withdrawn because the gateway itself was suspended: what its
+// endpoints sent meanwhile has not been read yet.
+func TestSuspendedGatewayWithdrawsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		defer func() { _ = far.Close() }()
+		g, r := gatewayWithEndpoint(func() net.Conn { return near }, 0)
+		r.route.Resumable = true
+		g.Log = event.Discard()
+		g.requests.add(r)
+		failures := startAttempt(r)
+		if _, err := far.Read(make([]byte, 4096)); err != nil {
+			t.Fatal(err)
+		}
+		withdrawnAfter := func(checks int) bool {
+			for range checks {
+				g.withdrawExpired()
+				if r.pending.Load().withdrawn() {
+					return true
+				}
+				time.Sleep(withdrawInterval)
+			}
+			return false
+		}
+		withdrawnAfter(1)
+		time.Sleep(4 * time.Second)
+		if checks := int(maxSilence / withdrawInterval); withdrawnAfter(checks) {
+			t.Error("the attempt is withdrawn after the gateway was suspended")
+		}
+		if !withdrawnAfter(2) {
+			t.Error("the attempt is not withdrawn although the endpoint is silent")
+		}
+		if failed := <-failures; failed == nil || !errors.Is(failed.err, errWithdrawn) {
+			t.Errorf("failed with %+v, want %v", failed, errWithdrawn)
+		}
+	})
+}
