quarantine: count crashes at one moment if one part explains them

Cause: engines that end within 100 ms of each other count as one crash, as in a power failure. Several requests with the part at the same moment end several engines at the same moment, too.

Change: such crashes count one by one for a prompt part that all of them have and that was not answered before, while other parts of their requests were.

--- a/internal/lifecycle/site_test.go
+++ b/internal/lifecycle/site_test.go
@@ -151,16 +151,30 @@
 	s.fakes.Go(func(ctx context.Context) { platformtest.Serve(ctx, listener, handle) })
 }
 
+// restartDelay is how long an endpoint is away after a crash.
+const restartDelay = 2 * time.Second
+
 func (s *site) startEndpoint(host int, service string, engine *platformtest.Engine) {
 	endpoint := &platformtest.Endpoint{
 		ID: fmt.Sprintf("%s-%d", service, host), Incarnation: 1, Service: service, Address: s.address(host, endpointPort), Zone: zoneName,
-		Slots: 16, ProcessingTime: 10 * time.Millisecond, Engine: engine, Store: s.store,
+		Slots: 16, ProcessingTime: 10 * time.Millisecond, RestartDelay: restartDelay, Engine: engine, Store: s.store,
 	}
 	if engine != nil {
 		endpoint.Slots = engineConfig.Slots
 	}
-	listener := s.listen(endpoint.Address)
-	s.fakes.Go(func(ctx context.Context) { endpoint.Serve(ctx, listener) })
+	first := s.listen(endpoint.Address)
+	s.fakes.Go(func(ctx context.Context) {
+		listen := func() (net.Listener, error) {
+			if listener := first; listener != nil {
+				first = nil
+				return listener, nil
+			}
+			return net.Listen("tcp4", endpoint.Address)
+		}
+		if err := endpoint.ServeRestarting(ctx, listen); err != nil {
+			s.t.Errorf("%s: %v", endpoint.ID, err)
+		}
+	})
 	endpoint.Register("ready")
 	s.endpoints = append(s.endpoints, endpoint)
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -5,8 +5,6 @@
 package quarantine
 
 import (
-	"cmp"
-	"slices"
 	"sync"
 	"time"
 )
@@ -18,12 +16,6 @@
 	// provenWindow is the time before a crash in which an answer to a request with a part makes
 	// the part unlikely to be the cause.
 	provenWindow = 10 * time.Minute
-	// crashSpacing is the least time between two crashes that both count: engines that end
-	// at the same moment have a common cause, such as a power failure.
-	crashSpacing = 100 * time.Millisecond
-	// requestSpacing is the same for fingerprints. A gateway sends a request again as soon as its
-	// endpoint has ended, and the next one ends shortly afterwards.
-	requestSpacing = 40 * time.Millisecond
 	// settleTime is the age from which a crash counts. By then, gateways have learned
 	// of requests that were answered meanwhile.
 	settleTime = 700 * time.Millisecond
@@ -346,11 +338,9 @@
 		}
 	}
 	for part, found := range suspects {
-		spacing := crashSpacing
-		if isRequest(part) {
-			spacing = requestSpacing
+		if len(found.crashes) >= minCrashes {
+			found.crashes = q.spaced(part, found.crashes)
 		}
-		found.crashes = spaced(found.crashes, spacing)
 		if len(found.crashes) < minCrashes {
 			delete(suspects, part)
 		}
@@ -358,19 +348,6 @@
 	return suspects
 }
 
-// spaced orders crashes by their age, the oldest first, and drops those that follow another
-// one within the spacing.
-func spaced(crashes []Crash, spacing time.Duration) []Crash {
-	slices.SortFunc(crashes, func(a, b Crash) int { return cmp.Compare(b.Age, a.Age) })
-	var kept []Crash
-	for _, next := range crashes {
-		if len(kept) == 0 || kept[len(kept)-1].Age-next.Age >= spacing {
-			kept = append(kept, next)
-		}
-	}
-	return kept
-}
-
 // explained reports whether a crash involved a rejected part.
 func (q *Quarantine) explained(known *crash) bool {
 	if len(q.rejections) == 0 {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -73,6 +73,31 @@
 				c.advance(2 * time.Millisecond)
 			}
 		}, nil},
+		"many engines at one moment, each with a part that no engine has answered": {func(q *quarantine.Quarantine, c *clock) {
+			q.RecordAnswered([]string{"first", "subject"}, c.now)
+			c.advance(time.Second)
+			for engine := range 5 {
+				q.RecordCrash(crashOf(engine, "first", "bad", fmt.Sprint("own-", engine)), c.now)
+				c.advance(2 * time.Millisecond)
+			}
+		}, []string{"bad"}},
+		"the same, but one of the engines had no request with it": {func(q *quarantine.Quarantine, c *clock) {
+			q.RecordAnswered([]string{"first", "subject"}, c.now)
+			c.advance(time.Second)
+			for engine := range 5 {
+				q.RecordCrash(crashOf(engine, "first", "bad"), c.now)
+				c.advance(2 * time.Millisecond)
+			}
+			q.RecordCrash(crashOf(5, "first", "subject"), c.now)
+		}, nil},
+		"many engines at one moment, with parts that engines have answered": {func(q *quarantine.Quarantine, c *clock) {
+			q.RecordAnswered([]string{"first", "bad"}, c.now)
+			c.advance(time.Second)
+			for engine := range 5 {
+				q.RecordCrash(crashOf(engine, "first", "bad"), c.now)
+				c.advance(2 * time.Millisecond)
+			}
+		}, nil},
 		"an answer between crashes": {func(q *quarantine.Quarantine, c *clock) {
 			for engine := range 4 {
 				q.RecordCrash(crashOf(engine, "bad"), c.now)
