connpool: take no response without a valid status

What callers saw: an answer of an endpoint in trouble with the status 000 reached them as 200, with the endpoint's signature, buffered and as a stream; 101, 600 and 999 were passed on as they were.

Cause: the HTTP library reports 200 for the status 0, and accepts any number.

Change: the head of a response is checked for a status from 200 to 599 with three digits, after any 100, where its framing is checked already. Anything else ends the attempt like other bytes that are no answer: 502, or another attempt where that is allowed, on no kept connection.

Conclusion: fixed for answers to callers. The loader's own calls still take 000 for 200.

--- a/internal/connpool/exchange.go
+++ b/internal/connpool/exchange.go
@@ -83,7 +83,7 @@
 		e.response.Reset()
 		e.response.StreamBody = true
 		e.response.SkipBody = !hasBody
-		if err := checkFraming(e.conn.reader); err != nil {
+		if err := checkHead(e.conn.reader); err != nil {
 			return nil, errors.Wrapf(err, "read response header from %s", e.conn.address)
 		}
 		if err := e.response.ReadLimitBody(e.conn.reader, 0); err != nil {
--- a/internal/connpool/head.go
+++ b/internal/connpool/head.go
@@ -5,59 +5,86 @@
 	"bytes"
 
 	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
 )
 
-// ErrAmbiguousFraming means that a response has both a length and a transfer encoding, so that
-// its end is uncertain.
-var ErrAmbiguousFraming = errors.New("response has a length and a transfer encoding")
+var (
+	// ErrAmbiguousFraming means that a response has both a length and a transfer encoding, so that
+	// its end is uncertain.
+	ErrAmbiguousFraming = errors.New("response has a length and a transfer encoding")
+	// ErrInvalidStatus means that the status of a response is not that of a final response.
+	ErrInvalidStatus = errors.New("response has no valid status")
+)
 
 var (
 	lengthName   = []byte("content-length")
 	encodingName = []byte("transfer-encoding")
-	continueLine = []byte("HTTP/1.1 100")
 )
 
-// checkFraming waits for the head of the next response and reports ErrAmbiguousFraming. It
-// consumes nothing. Any other error is left to the parser, which the library's response does
-// not tell about a length that it ignored.
-func checkFraming(reader *bufio.Reader) error {
+// checkHead waits for the head of the next response and reports ErrAmbiguousFraming and
+// ErrInvalidStatus. It consumes nothing. Any other error is left to the parser, which does not
+// tell about a length that it ignored and takes the status 000 for 200.
+func checkHead(reader *bufio.Reader) error {
 	for wanted := 1; ; {
 		if _, err := reader.Peek(wanted); err != nil {
 			return nil //nolint:nilerr // the parser gets the same error
 		}
 		buffered, _ := reader.Peek(reader.Buffered())
-		ambiguous, complete := scanHeads(buffered)
-		switch {
-		case ambiguous:
-			return ErrAmbiguousFraming
-		case complete:
-			return nil
+		complete, err := scanHeads(buffered)
+		if complete || err != nil {
+			return err
 		}
 		wanted = len(buffered) + 1
 	}
 }
 
-// scanHeads reports whether the first head other than those of responses that only ask to
-// continue has both fields, and whether it is complete.
-func scanHeads(data []byte) (ambiguous, complete bool) {
+// scanHeads returns what is wrong about the first head other than those of responses that only ask
+// to continue, and whether it is complete.
+func scanHeads(data []byte) (complete bool, err error) {
 	hasLength, hasEncoding, first, interim := false, false, true, false
 	for {
 		line, rest, found := bytes.Cut(data, []byte("\n"))
 		if !found {
-			return false, false
+			return false, nil
 		}
 		line, data = bytes.TrimSuffix(line, []byte("\r")), rest
 		name, _, _ := bytes.Cut(line, []byte(":"))
 		switch {
+		case first && len(line) == 0:
+			// The parser skips empty lines before a status line.
 		case first:
-			first, interim = false, bytes.HasPrefix(line, continueLine)
+			status, valid := parseStatus(line)
+			first, interim = false, status == fasthttp.StatusContinue
+			if !interim && !valid {
+				return true, ErrInvalidStatus
+			}
 		case len(line) > 0:
 			hasLength = hasLength || bytes.EqualFold(bytes.TrimSpace(name), lengthName)
 			hasEncoding = hasEncoding || bytes.EqualFold(bytes.TrimSpace(name), encodingName)
 		case interim:
 			hasLength, hasEncoding, first = false, false, true
+		case hasLength && hasEncoding:
+			return true, ErrAmbiguousFraming
 		default:
-			return hasLength && hasEncoding, true
+			return true, nil
 		}
 	}
 }
+
+// maxStatus is the largest status that HTTP defines.
+const maxStatus = 599
+
+// parseStatus returns the status in a status line, and whether it is that of a final response. A
+// line without any is left to the parser.
+func parseStatus(line []byte) (status int, valid bool) {
+	_, afterVersion, found := bytes.Cut(line, []byte(" "))
+	if !found {
+		return 0, true
+	}
+	text, _, _ := bytes.Cut(afterVersion, []byte(" "))
+	status, err := fasthttp.ParseUint(text)
+	if err != nil || len(text) != len("200") {
+		return 0, false
+	}
+	return status, status >= fasthttp.StatusOK && status <= maxStatus
+}
