--- a/internal/gateway/endpointactivity_test.go
+++ b/internal/gateway/endpointactivity_test.go
@@ -44,7 +44,7 @@
 	})
 }
 
-// Guards against an endpoint that counts as heard from because the gateway ended a read of its
+// Guards against an endpoint that does not count as silent because the gateway ended a read of its
 // stream.
 func TestEndedReadIsNoSignOfAnEndpoint(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -63,7 +63,7 @@
 		got := map[string]bool{"ended read": ended, "header": header, "forgotten": forgotten, "data": activity.receivedSince("engine", start)}
 		want := map[string]bool{"ended read": false, "header": true, "forgotten": false, "data": true}
 		if diff := cmp.Diff(want, got); diff != "" {
-			t.Errorf("heard from the endpoint (-want +got):\n%s", diff)
+			t.Errorf("received from the endpoint (-want +got):\n%s", diff)
 		}
 	})
 }
