connpool: take no response with an invalid field name

What callers saw: an answer of an endpoint in trouble whose head had a blank in a field name reached them as a success with the endpoint's signature, and the line with it. With "Content-Length : 4" in an answer without a length they got the first four bytes of the body as a complete one; a line that begins with a blank became part of the value before it, for example of the signature.

Cause: the HTTP library accepts blanks inside and behind a field name, and joins a line that begins with a blank to the one before. Other invalid bytes in a name, control bytes among them, it rejects already.

Change: the check of a response's head, which looks at its framing and its status, now also requires that every line is a field whose name is a token of RFC 9110. Anything else ends the attempt like other bytes that are no answer: 502, or another attempt where that is allowed, on no kept connection. RFC 9112, section 5.2, allows a gateway to reject continued lines this way.

Evidence: TestInvalidFieldNameIsNoAnswer, through a gateway, in three forms of answers. It passes now. TestInvalidStatusIsNoAnswer takes the forms of answers from the same table; its checks are the same. It passed before this change and passes now: a status of 000 is no answer already.

--- a/internal/connpool/head.go
+++ b/internal/connpool/head.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/net/http/httpguts"
 )
 
 var (
@@ -14,6 +15,9 @@
 	ErrAmbiguousFraming = errors.New("response has a length and a transfer encoding")
 	// ErrInvalidStatus means that the status of a response is not that of a final response.
 	ErrInvalidStatus = errors.New("response has no valid status")
+	// ErrInvalidFieldName means that a line of the head is not a field with a valid name, so that
+	// programs differ on what it means.
+	ErrInvalidFieldName = errors.New("response has an invalid field name")
 )
 
 var (
@@ -21,9 +25,10 @@
 	encodingName = []byte("transfer-encoding")
 )
 
-// checkHead waits for the head of the next response and reports ErrAmbiguousFraming and
-// ErrInvalidStatus. It consumes nothing. Any other error is left to the parser, which does not
-// tell about a length that it ignored and takes the status 000 for 200.
+// checkHead waits for the head of the next response and reports ErrAmbiguousFraming,
+// ErrInvalidStatus and ErrInvalidFieldName. It consumes nothing. Any other error is left to the
+// parser, which does not tell about a length that it ignored, takes the status 000 for 200, accepts
+// blanks in field names, and joins lines that begin with a blank.
 func checkHead(reader *bufio.Reader) error {
 	for wanted := 1; ; {
 		if _, err := reader.Peek(wanted); err != nil {
@@ -48,7 +53,7 @@
 			return false, nil
 		}
 		line, data = bytes.TrimSuffix(line, []byte("\r")), rest
-		name, _, _ := bytes.Cut(line, []byte(":"))
+		name, _, hasColon := bytes.Cut(line, []byte(":"))
 		switch {
 		case first && len(line) == 0:
 			// The parser skips empty lines before a status line.
@@ -58,9 +63,11 @@
 			if !interim && !valid {
 				return true, ErrInvalidStatus
 			}
+		case len(line) > 0 && (!hasColon || !httpguts.ValidHeaderFieldName(string(name))):
+			return true, ErrInvalidFieldName
 		case len(line) > 0:
-			hasLength = hasLength || bytes.EqualFold(bytes.TrimSpace(name), lengthName)
-			hasEncoding = hasEncoding || bytes.EqualFold(bytes.TrimSpace(name), encodingName)
+			hasLength = hasLength || bytes.EqualFold(name, lengthName)
+			hasEncoding = hasEncoding || bytes.EqualFold(name, encodingName)
 		case interim:
 			hasLength, hasEncoding, first = false, false, true
 		case hasLength && hasEncoding:
