gateway, upstream: keep the trailer of a chunked body out of the head

What callers saw: fields that an endpoint sent behind a chunked body reached them in the head of the response: a second signature or request ID, a Retry-After, or a line with a blank in its name.

Cause: at the end of a chunked body the HTTP library adds the trailer to the header of the response. The gateway copied that header for the caller after it had read the body of a buffered answer, of an error in place of a stream, and of a stream without events. In upstream, which agents and entries use, a field that was looked up after the body was read came from the trailer if the head had none, also the ID that tells which request a response belongs to.

Change: the gateway copies the header before it reads the body; a response of upstream has a copy of the header as received. Trailers are discarded, as RFC 9112, section 7.1.2, allows.

Evidence: TestTrailerIsNotPartOfTheHead, through a gateway, failed before in all three places for each trailer; a stream with events passed. Its namesake in upstream got the request ID "other" from a trailer. Both pass now.

Conclusion: fixed. Found by checking the other places that copy what endpoints send.

--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -28,7 +28,7 @@
 	}
 	defer a.grant.Release()
 	r.body.drop()
-	body, err := a.exchange.ReadBlocks(r.deadline)
+	body, err := r.readBuffered(a)
 	if err != nil {
 		a.discard()
 		if r.ctx.Err() == nil || r.endpointHung() {
@@ -54,7 +54,6 @@
 		r.refuse(possiblyExecuted(reasonEndpointError))
 		return
 	}
-	platform.CopyResponseHeader(&r.httpCtx.Response.Header, a.exchange.Header())
 	if err := r.sendBody(a, body); err != nil {
 		a.discard()
 		r.refuse(possiblyExecuted("answerBroken"))
@@ -64,6 +63,14 @@
 	a.finish()
 }
 
+// readBuffered copies the header of an endpoint's response to the response for the client, and
+// reads the complete body. The header is copied first, because the parser adds the trailer of a
+// chunked body to it.
+func (r *request) readBuffered(a *attempt) ([][]byte, error) {
+	platform.CopyResponseHeader(&r.httpCtx.Response.Header, a.exchange.Header())
+	return a.exchange.ReadBlocks(r.deadline)
+}
+
 // reasonEndpointError is the reason for the refusal that replaces an endpoint's error.
 const reasonEndpointError = "endpointError"
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -27,6 +27,8 @@
 		r.forwardError(a)
 		return
 	}
+	// The parser adds the trailer to the header at the end of the body.
+	platform.CopyResponseHeader(&r.httpCtx.Response.Header, a.exchange.Header())
 	relay := &streamRelay{request: r, attempt: a, memory: a.exchange.Memory()}
 	relay.evict = relay.abort
 	relay.events = eventstream.Reader{Read: relay.readUpstream, Reserve: a.exchange.Reserve}
@@ -47,7 +49,6 @@
 	relay.accept(event, err)
 	relay.timeToFirst = time.Since(r.arrived)
 	r.gateway.metrics.predictionErrors.Observe((relay.timeToFirst - a.grant.Decision.QueueTime - a.grant.Decision.PredictedLatency).Seconds())
-	platform.CopyResponseHeader(&r.httpCtx.Response.Header, a.exchange.Header())
 	r.httpCtx.Response.SetBodyStream(relay, -1)
 }
 
@@ -56,7 +57,7 @@
 func (r *request) forwardError(a *attempt) {
 	defer r.end()
 	defer a.grant.Release()
-	body, err := a.exchange.ReadBlocks(r.deadline)
+	body, err := r.readBuffered(a)
 	if err != nil {
 		a.discard()
 		r.refuse(possiblyExecuted("answerBroken"))
@@ -67,7 +68,6 @@
 		r.refuse(possiblyExecuted(reasonEndpointError))
 		return
 	}
-	platform.CopyResponseHeader(&r.httpCtx.Response.Header, a.exchange.Header())
 	if err := r.sendBody(a, body); err != nil {
 		a.discard()
 		r.refuse(possiblyExecuted("answerBroken"))
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -98,7 +98,10 @@
 // Response is an HTTP response with a streamed body. The caller must call Close.
 type Response struct {
 	response *fasthttp.Response
-	reader   *bufio.Reader
+	// header is the header as received: the parser adds the trailer of a chunked body to that of
+	// response.
+	header fasthttp.ResponseHeader
+	reader *bufio.Reader
 }
 
 // Do sends the request and returns when the header of the response is received. The
@@ -136,20 +139,22 @@
 }
 
 func newResponse(response *fasthttp.Response) *Response {
+	result := &Response{response: response}
+	response.Header.CopyTo(&result.header)
 	if stream := response.BodyStream(); stream != nil {
-		return &Response{response: response, reader: bufio.NewReaderSize(stream, readBufferBytes)}
+		result.reader = bufio.NewReaderSize(stream, readBufferBytes)
 	}
-	return &Response{response: response}
+	return result
 }
 
 // Status returns the HTTP status code.
 func (r *Response) Status() int { return r.response.StatusCode() }
 
 // Header returns the value of a header.
-func (r *Response) Header(name string) string { return string(r.response.Header.Peek(name)) }
+func (r *Response) Header(name string) string { return string(r.header.Peek(name)) }
 
 // EndToEnd returns the headers that are forwarded to the client.
-func (r *Response) EndToEnd() []Header { return EndToEnd(r.response.Header.All()) }
+func (r *Response) EndToEnd() []Header { return EndToEnd(r.header.All()) }
 
 // ReadLine returns the next line of the body, including its line break.
 func (r *Response) ReadLine() ([]byte, error) {
