connpool: take no response with an invalid status line

What callers saw: an answer of an endpoint in trouble that began with HTTP/9.9, HTTP/2.0 or HTTP/0.9, or with a control byte in the phrase, reached them with that version and phrase. In any version other than HTTP/1.1 the chunks of a stream reached them as bytes of its events. A sound answer in HTTP/1.0 reached them in that version.

Cause: the HTTP library accepts any version of that form and any phrase, reads no chunks in a version other than HTTP/1.1, and copies the version to the response for the caller.

Change: the check of a response's head requires a status line of HTTP/1.1 or HTTP/1.0 without control bytes in the phrase. A transfer encoding in HTTP/1.0 is an ambiguous framing (RFC 9112, section 6.1).

Evidence: TestInvalidStatusLineIsNoAnswer failed before in 21 of 66 cases (7 of 22 status lines, in three forms of answers), TestAnswerInOlderVersion in all four of its cases. Both pass now, as do the tests of invalid statuses, field names and trailers.

Conclusion: fixed for answers that gateways read from endpoints.

--- a/internal/connpool/head.go
+++ b/internal/connpool/head.go
@@ -10,9 +10,12 @@
 )
 
 var (
-	// ErrAmbiguousFraming means that a response has both a length and a transfer encoding, so that
-	// its end is uncertain.
-	ErrAmbiguousFraming = errors.New("response has a length and a transfer encoding")
+	// ErrAmbiguousFraming means that the end of a response is uncertain: it has a transfer encoding
+	// and a length, or one that its version of HTTP does not have.
+	ErrAmbiguousFraming = errors.New("response has an ambiguous framing")
+	// ErrInvalidStatusLine means that a response does not begin with a status line of HTTP/1.1 or
+	// HTTP/1.0.
+	ErrInvalidStatusLine = errors.New("response has no valid status line")
 	// ErrInvalidStatus means that the status of a response is not that of a final response.
 	ErrInvalidStatus = errors.New("response has no valid status")
 	// ErrInvalidFieldName means that a line of the head is not a field with a valid name, so that
@@ -25,10 +28,10 @@
 	encodingName = []byte("transfer-encoding")
 )
 
-// checkHead waits for the head of the next response and reports ErrAmbiguousFraming,
-// ErrInvalidStatus and ErrInvalidFieldName. It consumes nothing. Any other error is left to the
-// parser, which does not tell about a length that it ignored, takes the status 000 for 200, accepts
-// blanks in field names, and joins lines that begin with a blank.
+// checkHead waits for the head of the next response and reports what is wrong about it that the
+// parser accepts: the parser does not tell about a length that it ignored, takes the status 000 for
+// 200, passes on any version and phrase, accepts blanks in field names, and joins lines that begin
+// with a blank. It consumes nothing. Any other error is left to the parser.
 func checkHead(reader *bufio.Reader) error {
 	for wanted := 1; ; {
 		if _, err := reader.Peek(wanted); err != nil {
@@ -46,7 +49,8 @@
 // scanHeads returns what is wrong about the first head other than those of responses that only ask
 // to continue, and whether it is complete.
 func scanHeads(data []byte) (complete bool, err error) {
-	hasLength, hasEncoding, first, interim := false, false, true, false
+	var status statusLine
+	hasLength, hasEncoding, first := false, false, true
 	for {
 		line, rest, found := bytes.Cut(data, []byte("\n"))
 		if !found {
@@ -58,19 +62,18 @@
 		case first && len(line) == 0:
 			// The parser skips empty lines before a status line.
 		case first:
-			status, valid := parseStatus(line)
-			first, interim = false, status == fasthttp.StatusContinue
-			if !interim && !valid {
-				return true, ErrInvalidStatus
+			first = false
+			if status, err = parseStatusLine(line); err != nil {
+				return true, err
 			}
 		case len(line) > 0 && (!hasColon || !httpguts.ValidHeaderFieldName(string(name))):
 			return true, ErrInvalidFieldName
 		case len(line) > 0:
 			hasLength = hasLength || bytes.EqualFold(name, lengthName)
 			hasEncoding = hasEncoding || bytes.EqualFold(name, encodingName)
-		case interim:
+		case status.interim:
 			hasLength, hasEncoding, first = false, false, true
-		case hasLength && hasEncoding:
+		case hasEncoding && (hasLength || status.unchunked):
 			return true, ErrAmbiguousFraming
 		default:
 			return true, nil
@@ -81,17 +84,26 @@
 // maxStatus is the largest status that HTTP defines.
 const maxStatus = 599
 
-// parseStatus returns the status in a status line, and whether it is that of a final response. A
-// line without any is left to the parser.
-func parseStatus(line []byte) (status int, valid bool) {
-	_, afterVersion, found := bytes.Cut(line, []byte(" "))
-	if !found {
-		return 0, true
+// statusLine is what a status line says about the rest of the response.
+type statusLine struct {
+	// interim is true if another response follows this one.
+	interim bool
+	// unchunked is true if the version of HTTP has no chunks.
+	unchunked bool
+}
+
+// parseStatusLine parses a status line, which may lack the phrase and the blank before it.
+func parseStatusLine(line []byte) (statusLine, error) {
+	version, afterVersion, _ := bytes.Cut(line, []byte(" "))
+	text, phrase, _ := bytes.Cut(afterVersion, []byte(" "))
+	unchunked := string(version) == "HTTP/1.0"
+	if (!unchunked && string(version) != "HTTP/1.1") || !httpguts.ValidHeaderFieldValue(string(phrase)) {
+		return statusLine{}, ErrInvalidStatusLine
 	}
-	text, _, _ := bytes.Cut(afterVersion, []byte(" "))
 	status, err := fasthttp.ParseUint(text)
-	if err != nil || len(text) != len("200") {
-		return 0, false
+	interim := status == fasthttp.StatusContinue
+	if err != nil || len(text) != len("200") || (!interim && (status < fasthttp.StatusOK || status > maxStatus)) {
+		return statusLine{}, ErrInvalidStatus
 	}
-	return status, status >= fasthttp.StatusOK && status <= maxStatus
+	return statusLine{interim: interim, unchunked: unchunked}, nil
 }
