responsehead: check the heads of all responses that the programs read

What callers saw: with entries and agents, bytes of an endpoint in trouble whose head is invalid reached them as its response, as they did through gateways. What operators would see: a loader that takes the status 000 of its engine for an accepted order, a gateway or a loader that takes it for a state of the object store.

Cause: only gateways checked the heads of endpoints' responses. The clients of agents and entries, of engines, the origin and the store, and of the operators' command line left them to the HTTP library, which takes the status 000 for 200 and accepts blanks in names, any version and any phrase.

Change: the check moves to a package of its own. Connections of these clients fail a read once the head that follows a request is invalid. The failure comes behind a first byte, because the library takes an error before it for the end of an idle connection, after which a GET request is sent again. Heads take 32 KiB at most.

Conclusion: fixed for every HTTP response that the programs read. net/rpc between them has its own framing.

--- a/internal/platformclient/http.go
+++ b/internal/platformclient/http.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/mimosaward/mimosaward/internal/responsehead"
 )
 
 // defaultCallTimeout bounds a call whose context has no deadline.
@@ -13,8 +15,11 @@
 // NewRoundTripFunc returns a RoundTripFunc that connects with dial and does not
 // retry. If dial is nil, it uses TCP.
 func NewRoundTripFunc(dial fasthttp.DialFunc) RoundTripFunc {
+	if dial == nil {
+		dial = fasthttp.Dial
+	}
 	client := &fasthttp.Client{
-		Dial:                      dial,
+		Dial:                      responsehead.Checked(dial),
 		MaxIdemponentCallAttempts: 1,
 		MaxResponseBodySize:       64 << 20,
 		NoDefaultUserAgentHeader:  true,
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -13,6 +13,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/mimosaward/mimosaward/internal/responsehead"
 )
 
 var (
@@ -59,7 +61,7 @@
 // Init prepares the client. It must be called once before the first request.
 func (c *Client) Init() *Client {
 	c.client = &fasthttp.Client{
-		Dial:                      c.dial,
+		Dial:                      responsehead.Checked(c.dial),
 		MaxIdemponentCallAttempts: 1,
 		MaxConnsPerHost:           4096,
 		MaxIdleConnDuration:       IdleConnTimeout,
