--- a/internal/integration/statusline_test.go
+++ b/internal/integration/statusline_test.go
@@ -11,7 +11,7 @@
 	"github.com/mimosaward/mimosaward/platform/platformtest"
 )
 
-// Guards against an answer of an endpoint in trouble whose status line is none of HTTP/1: the
+// Guards against an answer of an endpoint in trouble whose status line is not valid in HTTP/1: the
 // caller got it with that version and phrase, and the chunks of a stream as its events.
 func TestInvalidStatusLineIsNoAnswer(t *testing.T) {
 	for name, form := range answerForms {
