Show that a version named while all gateways are away replaces too late

Cause: a gateway that starts takes a version without a recorded time for one that was named at this moment.

All gateways are killed, version 2 is named, and they start again 4 s after the kill.

--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -25,7 +25,8 @@
 
 // cases holds the scripts by name. trouble is false if a script must not cause the disruption.
 var cases = map[string]func(ctx context.Context, directory string, record *record, trouble bool) (result, error){
-	"staged-rot": stagedRot,
+	"down-gateways": downGateways,
+	"staged-rot":    stagedRot,
 }
 
 func main() {
