Show that gateways forget a part that crashes engines when all restart

Cause: crashes and rejected prompt parts are in the memory of the gateways only.

All gateways are killed after they have learned of the part, and start again 2 s later.

--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -25,8 +25,9 @@
 
 // cases holds the scripts by name. trouble is false if a script must not cause the disruption.
 var cases = map[string]func(ctx context.Context, directory string, record *record, trouble bool) (result, error){
-	"down-gateways": downGateways,
-	"staged-rot":    stagedRot,
+	"down-gateways":  downGateways,
+	"forgotten-part": forgottenPart,
+	"staged-rot":     stagedRot,
 }
 
 func main() {
--- a/review/_standin-2/site.go
+++ b/review/_standin-2/site.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mimosaward/mimosaward/internal/configuration"
@@ -51,3 +52,6 @@
 		Limits: platformtest.Limits{HeaderBytes: 16384, BodyBytes: 4 << 20},
 	}
 }
+
+// sortTimes sorts times in ascending order.
+func sortTimes(times []time.Time) { slices.SortFunc(times, time.Time.Compare) }
