Show that each cell of gateways spends the whole rate of a cold worker

Cause: a gateway divides the rate of a cold worker by the gateways of its own cell, but the gateways of all cells send requests to the workers of a service without a model.

A cold worker is added to such a service of a deployment with 21 gateways, which form four cells.

--- a/review/_standin-2/callers.go
+++ b/review/_standin-2/callers.go
@@ -20,8 +20,10 @@
 // callers send requests to the gateways.
 type callers struct {
 	deployment *deployment
-	sent       atomic.Int64
-	served     atomic.Int64
+	// plain is true if they send plain requests instead of model requests.
+	plain  bool
+	sent   atomic.Int64
+	served atomic.Int64
 }
 
 // start sends requests at a steady rate to each gateway until the returned function is called.
@@ -51,10 +53,16 @@
 func (c *callers) request(host int, id string) {
 	c.sent.Add(1)
 	c.deployment.record.add("request %s sent to gateway-%d", id, host)
-	response, err := platformtest.Do(func(address string) (net.Conn, error) { return net.DialTimeout("tcp4", address, time.Second) }, platformtest.Request{
+	request := platformtest.Request{
 		Gateway: c.deployment.address(host, callersPort), AttemptID: id, Method: "POST", Host: callersHost, Path: "/explain/" + id, Body: "{}",
 		Timeout: 6 * time.Second, Model: modelName, PromptTokens: 100, OutputTokens: 5, DisconnectAfter: unreadTime,
-	})
+	}
+	if c.plain {
+		request = platformtest.Request{
+			Gateway: request.Gateway, AttemptID: id, Method: "GET", Host: callersHost, Path: "/balance/" + id, Timeout: 1500 * time.Millisecond,
+		}
+	}
+	response, err := platformtest.Do(func(address string) (net.Conn, error) { return net.DialTimeout("tcp4", address, time.Second) }, request)
 	switch {
 	case err != nil:
 		c.deployment.record.add("request %s ended without an answer", id)
--- a/review/_standin-2/site.go
+++ b/review/_standin-2/site.go
@@ -55,3 +55,16 @@
 
 // sortTimes sorts times in ascending order.
 func sortTimes(times []time.Time) { slices.SortFunc(times, time.Time.Compare) }
+
+// plainState returns a configuration with one route to the plain service.
+func plainState() platformtest.DesiredState {
+	return platformtest.DesiredState{
+		Version: 1,
+		Routes: []platformtest.Route{{
+			Name: "balance-read", Host: callersHost, PathPrefix: "/balance/", Kind: platformtest.Idempotent, Timeout: 2000, TargetLatency: 100,
+			Priority: 2, Service: plainService, MaxAttempts: 2, Public: true,
+		}},
+		Services: []platformtest.Service{{Name: plainService, MaxConns: 480, ColdStart: coldStart, ColdRate: coldPerSecond}},
+		Limits:   platformtest.Limits{HeaderBytes: 16384, BodyBytes: 4 << 20},
+	}
+}
