Show the staged piece that turns bad with many pieces

The weights now have 384 pieces, which the engine reads back in 9 ms each, instead of 96 in 40 ms each.

--- a/review/_standin-2/site.go
+++ b/review/_standin-2/site.go
@@ -43,7 +43,7 @@
 		Services: []platformtest.Service{
 			{Name: serviceName, MaxConns: 334, ColdStart: coldStart, ColdRate: coldPerSecond, Engine: &platformtest.EngineSpec{
 				Slots: engineConfig.Slots, Stride: engineConfig.TokensPerEvent, StepTime: stepMS, PrefillRate: engineConfig.PrefillRate,
-				PrefillChunkTokens: engineConfig.PrefillChunkTokens, Layers: engineConfig.Layers, Chunks: chunkCount, ChunkBytes: chunkBytes,
+				PrefillChunkTokens: engineConfig.PrefillChunkTokens, Layers: engineConfig.Layers, Chunks: engineConfig.Chunks, ChunkBytes: chunkBytes,
 				MeanTokens: platformtest.MeanTokens{Prompt: engineConfig.MeanPromptTokens, Answer: engineConfig.MeanResponseTokens},
 				Models:     []platformtest.ModelEntry{{Name: modelName, LoadTime: 0.3}},
 			}},
--- a/review/_standin-2/staging.go
+++ b/review/_standin-2/staging.go
@@ -68,7 +68,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.reads++
-	if !e.armed || e.written < chunkCount || e.reads < spoilAfter {
+	if !e.armed || e.written < stagedPieces || e.reads < spoilAfter {
 		return
 	}
 	e.armed = false
@@ -130,13 +130,15 @@
 }
 
 const (
-	// stageReadTime is how long the engine takes to read back a staged piece.
-	stageReadTime = 40 * time.Millisecond
+	// stagedPieces is the number of pieces of the weights, which have 9.4 MB, and stageReadTime how
+	// long the engine takes to read back one of them.
+	stagedPieces  = 384
+	stageReadTime = 9 * time.Millisecond
 	// lastVersion is the version that is named, which must be loaded within loadTimeout.
 	lastVersion = 2
 	loadTimeout = 40 * time.Second
 	// spoilAfter is the number of pieces that the loader has read back when one of them turns bad.
-	spoilAfter = 16
+	spoilAfter = 40
 )
 
 // stagedRot lets a piece that lies at an engine turn bad while the loader reads all of them back.
@@ -147,7 +149,8 @@
 		return result{}, err
 	}
 	defer d.stop()
-	origin := &platformtest.Origin{Model: modelName, Chunks: chunkCount, ChunkBytes: chunkBytes, Layers: engineConfig.Layers, NewestVersion: 1}
+	engineConfig.Chunks = stagedPieces
+	origin := &platformtest.Origin{Model: modelName, Chunks: stagedPieces, ChunkBytes: chunkBytes, Layers: engineConfig.Layers, NewestVersion: 1}
 	d.store.Configure(desiredState(d.address(originHost, originPort)))
 	engine, err := d.startStagingEngine(origin)
 	if err != nil {
