--- a/review/_standin-2/callers.go
+++ b/review/_standin-2/callers.go
@@ -21,9 +21,11 @@
 type callers struct {
 	deployment *deployment
 	// plain is true if they send plain requests instead of model requests.
-	plain  bool
-	sent   atomic.Int64
-	served atomic.Int64
+	plain bool
+	// observe is called with each answer, if it is not nil.
+	observe func(id string, response platformtest.Response)
+	sent    atomic.Int64
+	served  atomic.Int64
 }
 
 // start sends requests at a steady rate to each gateway until the returned function is called.
@@ -63,6 +65,9 @@
 		}
 	}
 	response, err := platformtest.Do(func(address string) (net.Conn, error) { return net.DialTimeout("tcp4", address, time.Second) }, request)
+	if err == nil && c.observe != nil {
+		c.observe(id, response)
+	}
 	switch {
 	case err != nil:
 		c.deployment.record.add("request %s ended without an answer", id)
--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -29,6 +29,7 @@
 	"down-gateways":  downGateways,
 	"forgotten-part": forgottenPart,
 	"staged-rot":     stagedRot,
+	"unsigned":       unsigned,
 }
 
 func main() {
