Show that a version far above the served one hangs the loaders

Cause: loadStart steps through each number between the version that the engine serves and the named one.

Version is named after version 1.

--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -26,7 +26,7 @@
 // cases holds the scripts by name. trouble is false if a script must not cause the disruption.
 var cases = map[string]func(ctx context.Context, directory string, record *record, trouble bool) (result, error){
 	"cold-worker":    coldWorker,
-	"down-gateways":  downGateways,
+	"far-version":    farVersionNamed,
 	"forgotten-part": forgottenPart,
 	"staged-rot":     stagedRot,
 	"unsigned":       unsigned,
