--- a/review/_standin-2/forgottenpart.go
+++ b/review/_standin-2/forgottenpart.go
@@ -26,9 +26,12 @@
 	// allowedRequests is the number of requests with the part that may reach engines then.
 	allowedRequests = 3
 	// earlyInterval is the time between requests with the part until enough engines have ended,
-	// and lateInterval that afterwards.
-	earlyInterval = 500 * time.Millisecond
-	lateInterval  = 6 * time.Second
+	// refusedInterval that until the gateways are killed, and lateInterval that afterwards.
+	earlyInterval   = 150 * time.Millisecond
+	refusedInterval = 500 * time.Millisecond
+	lateInterval    = 6 * time.Second
+	// judgedMargin is how long the gateways have been in touch at least when the part comes again.
+	judgedMargin = 200 * time.Millisecond
 	// awayTime is how long the gateways are away after they were killed.
 	awayTime = 2 * time.Second
 )
@@ -146,7 +149,7 @@
 	judgedFrom := fifth.Add(contactTime)
 	for time.Now().Before(fifth.Add(2 * contactTime)) {
 		bad.send()
-		time.Sleep(earlyInterval)
+		time.Sleep(refusedInterval)
 	}
 	if trouble {
 		for index, gateway := range gateways {
@@ -161,7 +164,7 @@
 			return result{}, err
 		}
 		judgedFrom = time.Now().Add(contactTime)
-		time.Sleep(time.Until(killed.Add(lateInterval)))
+		time.Sleep(max(time.Until(killed.Add(lateInterval)), time.Until(judgedFrom.Add(judgedMargin))))
 	}
 	for range 5 {
 		bad.send()
