loader: bound the age of the checks of staged chunks

Cause: the loader reads each staged chunk back once and orders the load after the last one, however long ago the first one was read. With 384 chunks of 9 ms each, a chunk that became corrupt after 40 were read was loaded 3.51 s later. Nothing bounds that time, neither for slow reads, nor for a suspended machine, nor for an order that is accepted late.

Change: the time since before the first check is measured with a clock that counts suspensions, and an order is sent only within 1.5 s of it. If that is not enough, the layers are ordered in parts, each right after its own chunks were read; the engine serves only with all layers. If the acceptance is not known to be recent, the chunks are read back once more before gateways learn that the engine serves: a corrupt chunk stays corrupt until it is written, so a pass that finds all intact shows that intact ones were loaded.

Why this works: in each case either the acceptance is known to be within 3 s of the first check, or a later pass shows what was loaded, so a larger or slower set moves no threshold.

--- a/internal/engine/status.go
+++ b/internal/engine/status.go
@@ -16,6 +16,8 @@
 	Incarnation int64
 	// Weights are the model versions that the engine has loaded completely.
 	Weights []clusterstate.ModelVersion
+	// Layers are the layers that the engine has loaded, of one version.
+	Layers LoadedLayers
 	// Busy is true while the engine executes an order.
 	Busy bool
 	// Orders is the number of orders since the start that caused a change.
@@ -33,6 +35,12 @@
 	ReadyIn time.Duration
 }
 
+// LoadedLayers are the layers of a version from From up to, but not including, To.
+type LoadedLayers struct {
+	From, To int
+	Version  int64
+}
+
 // Version returns the version of a model that the engine has loaded, 0 if none.
 func (s *Status) Version(model string) int64 {
 	for _, loaded := range s.Weights {
@@ -48,10 +56,12 @@
 	return s.Incarnation == other.Incarnation && s.Busy == other.Busy && s.Pace == other.Pace && slices.Equal(s.Weights, other.Weights)
 }
 
-// LoadOrder instructs an engine to load the staged weights.
+// LoadOrder instructs an engine to hold the layers below To, or all if To is 0, and to load those
+// that it lacks from the staged weights.
 type LoadOrder struct {
 	Model   string
 	Version int64
+	To      int
 	// FencingToken is refused by engines that enforce fencing if it is lower than
 	// one that the engine has seen.
 	FencingToken int64
@@ -66,8 +76,10 @@
 const (
 	// OrderUnknown means that there was no response; the order may have been accepted.
 	OrderUnknown OrderResult = iota
-	// OrderAccepted means that the order has started, or is already in effect.
+	// OrderAccepted means that the order has started.
 	OrderAccepted
+	// OrderInEffect means that the engine has loaded the layers already.
+	OrderInEffect
 	// OrderMismatched means that the order does not match the engine's state.
 	OrderMismatched
 	// OrderFenced means that the fencing token is too low.
@@ -79,7 +91,7 @@
 
 // String returns the name of the result that logs use.
 func (r OrderResult) String() string {
-	return [...]string{"unknown", "taken", "mismatched", "fenced", "rejected"}[r]
+	return [...]string{"unknown", "taken", "inEffect", "mismatched", "fenced", "rejected"}[r]
 }
 
 // Manifest lists the chunks of one version of a model by their digests.
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -93,6 +93,8 @@
 	FetchFailed         = Event{3016, logrus.WarnLevel, "weight set could not be fetched, will retry", "Check the error in the record; the manifest was received."}
 	ManifestReplaced    = Event{3017, logrus.WarnLevel, "manifest replaced during its fetch, since another source has a different one", "If this repeats, check what the origin sends: its manifest and its chunks did not match."}
 	OriginFailed        = Event{3018, logrus.WarnLevel, "request to the origin failed; the record counts requests and connections since the last such event", "If many loaders write this, the origin is down or more instances ask it than it accepts."}
+	LoadConfirmed       = Event{3019, logrus.InfoLevel, "staged chunks found intact after a load whose order was accepted late or without a response", noAction}
+	LoadedCorrupt       = Event{3020, logrus.ErrorLevel, "engine may have loaded corrupt chunks and stays out of service until it restarts or loads a newer version", "Restart the engine, or name a newer version of its weights."}
 	RolloutAbandoned    = Event{3011, logrus.InfoLevel, "weight set replaced before it was complete", noAction}
 )
 
@@ -137,7 +139,7 @@
 		ConfigurationApplied, ObjectUnreadable, ZoneEvacuated, ZoneReturned, RolloutRequested, StoreRestored,
 		GatewayAlive, GatewayUnresponsive, SnapshotAdopted, SnapshotFailed, CopyBehind,
 		RolloutStarted, SetComplete, ChunkCorrupt, PeerExcluded, LoadOrdered, LoadFailed, LoadCompleted, ManifestFailed,
-		ChunkMemoryTooSmall, SwapWaiting, RolloutAbandoned, EngineUnreachable, EngineReachable, GatewaysUnreachable, GatewaysReachable, FetchFailed, ManifestReplaced, OriginFailed,
+		ChunkMemoryTooSmall, SwapWaiting, RolloutAbandoned, EngineUnreachable, EngineReachable, GatewaysUnreachable, GatewaysReachable, FetchFailed, ManifestReplaced, OriginFailed, LoadConfirmed, LoadedCorrupt,
 		EndpointCold, ResponseMismatched, StreamResumed, StreamAborted, OutcomeUnknown, LoaderUnreachable, LoaderReachable, RequestSent, RequestEnded, RequestRefused, AttemptFailed, EndpointLent, EndpointNotLent, LenderUnreachable,
 		CrashSuspected, CrashConfirmed, PartRejected, PartAdmitted, PartTried, RequestPanicked, EndpointAnnounced, TurnedAway, AttemptWithdrawn, RequestCut, ClientLimited, MemoryGivenUp, ProbeFailed, ScarcityBegan, ScarcityEnded,
 	}
--- a/internal/integration/installation_test.go
+++ b/internal/integration/installation_test.go
@@ -219,6 +219,10 @@
 }
 
 func (i *installation) startLoader(zone, index int) {
+	i.startLoaderWith(zone, index, func(*loader.Loader) {})
+}
+
+func (i *installation) startLoaderWith(zone, index int, change func(l *loader.Loader)) {
 	name := "loader-" + engineName(zone, index)
 	d := i.deployment(name, engineHost(zone, index), zone)
 	d.Endpoint = deployment.Endpoint{Address: engineHost(zone, index) + ":90", Service: "drafts"}
@@ -226,6 +230,7 @@
 	l := &loader.Loader{
 		Deployment: d, Log: i.logger(name), Registry: i.newRegistry(), Listen: network.Listen, Dial: network.Dial, DialControl: withContext(network.Dial),
 	}
+	change(l)
 	i.startProcess(name, l.Run)
 }
 
--- a/internal/loader/fetch.go
+++ b/internal/loader/fetch.go
@@ -186,6 +186,13 @@
 	return s.byWantedVersion[version] != nil
 }
 
+// ofVersion returns the complete set of a version, or nil.
+func (s *weightSets) ofVersion(version int64) *weights.Manifest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.byWantedVersion[version]
+}
+
 func (s *weightSets) add(version int64, manifest *weights.Manifest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/loader/load.go
+++ b/internal/loader/load.go
@@ -11,7 +11,6 @@
 	"github.com/mimosaward/mimosaward/internal/event"
 	"github.com/mimosaward/mimosaward/internal/membership"
 	"github.com/mimosaward/mimosaward/internal/weights"
-	"github.com/mimosaward/mimosaward/platform"
 )
 
 const (
@@ -29,9 +28,16 @@
 	// lastLoadMargin is how long before the rollout deadline the last engine stops
 	// serving to load: its running requests must finish first.
 	lastLoadMargin = 1800 * time.Millisecond
-	// maxStageRetries limits how often corrupt chunks are staged again before the whole
-	// load order fails and is repeated.
-	maxStageRetries = 3
+	// corruptionTolerance is how long a staged chunk may have been corrupt when the engine loads
+	// it: the limit in the users' specification.
+	corruptionTolerance = 3 * time.Second
+	// maxCheckAge is the maximum age of the first check of a staged chunk when the order to load
+	// it is sent. The rest of corruptionTolerance is left for an engine that is silent for a
+	// while before it accepts the order.
+	maxCheckAge = corruptionTolerance / 2
+	// unconfirmedOrderTimeout limits the wait for the response to an order whose chunks are read
+	// back again afterwards.
+	unconfirmedOrderTimeout = 2 * time.Second
 )
 
 // loadLoop makes the engine load the newest complete weight set, repeatedly, until ctx
@@ -41,6 +47,11 @@
 		manifest, changed := l.weightSets.newest()
 		status := l.status.current()
 		switch {
+		case status.Answering && !status.Status.Busy && l.unconfirmed.needsConfirmation(status.Status):
+			l.confirmLoad(ctx)
+			concurrency.Sleep(ctx, loadRetryDelay)
+		case manifest != nil && l.unconfirmed.corruptVersion(status.Status) >= versionOf(manifest):
+			waitForChange(ctx, changed, concurrency.UntilTick(loadInterval))
 		case manifest == nil, !status.Answering, status.Status.Busy, status.Status.Version(manifest.Model) >= versionOf(manifest):
 			waitForChange(ctx, changed, concurrency.UntilTick(loadInterval))
 		case l.awaitLoadStart(ctx, manifest, status.Status, changed):
@@ -94,77 +105,127 @@
 // load stages a weight set, verifies the staged chunks, orders the engine to load them,
 // and waits for the end of the load.
 func (l *Loader) load(ctx context.Context, manifest *weights.Manifest) {
-	version := versionOf(manifest)
-	fields := event.Fields{"model": manifest.Model, "version": version}
 	l.readiness.loadStarted(time.Now())
 	succeeded := false
 	defer func() { l.readiness.loadEnded(succeeded, time.Now()) }()
-	statusBefore, result, err := l.orderLoad(ctx, manifest)
-	l.metrics.loads.WithLabelValues(result.String()).Inc()
-	if err != nil {
-		fields["error"], fields["result"] = err.Error(), result.String()
-		l.Log.Emit(event.LoadFailed, fields)
+	incarnation, result, err := l.orderLoad(ctx, manifest)
+	switch {
+	case err != nil:
+		l.Log.Emit(event.LoadFailed, event.Fields{"model": manifest.Model, "version": versionOf(manifest), "error": err.Error(), "result": result.String()})
+		concurrency.Sleep(ctx, loadRetryDelay)
+	case result == engine.OrderInEffect:
+		// An order without a response was accepted.
 		concurrency.Sleep(ctx, loadRetryDelay)
-		return
+	default:
+		succeeded = l.awaitLoad(ctx, manifest, incarnation)
 	}
-	fields["orders"], fields["running"] = statusBefore.Orders, statusBefore.Running
-	l.Log.Emit(event.LoadOrdered, fields)
-	succeeded = l.awaitLoad(ctx, manifest, statusBefore.Incarnation)
 }
 
-// orderLoad stages a weight set and sends the load order. It returns the engine's status
-// before the order and the result of the order.
-func (l *Loader) orderLoad(ctx context.Context, manifest *weights.Manifest) (engine.Status, engine.OrderResult, error) {
-	if err := l.stage(ctx, manifest); err != nil {
-		return engine.Status{}, engine.OrderRejected, err
+// orderLoad verifies the staged chunks of a weight set and orders the engine to load them. If
+// reading them back takes long, it orders the layers in parts, each right after its chunks were
+// read. It returns the engine's incarnation and the result of the last order.
+func (l *Loader) orderLoad(ctx context.Context, manifest *weights.Manifest) (int64, engine.OrderResult, error) {
+	for {
+		before, err := l.engineStatus(ctx)
+		if err != nil {
+			return 0, engine.OrderRejected, err
+		}
+		layout := l.layoutOf(manifest)
+		from := 0
+		if before.Layers.Version == versionOf(manifest) && before.Layers.From == 0 {
+			from = before.Layers.To
+		}
+		if from >= layout.layers {
+			return before.Incarnation, engine.OrderInEffect, nil
+		}
+		pass, err := l.verifyStaged(ctx, manifest, layout, from)
+		if err != nil {
+			return before.Incarnation, engine.OrderRejected, err
+		}
+		result, err := l.orderLayers(ctx, manifest, before.Incarnation, pass)
+		l.metrics.loads.WithLabelValues(result.String()).Inc()
+		if err != nil || pass.to == layout.layers {
+			return before.Incarnation, result, err
+		}
+		if err := l.awaitLayers(ctx, manifest, before.Incarnation, pass.to); err != nil {
+			return before.Incarnation, result, err
+		}
 	}
-	statusBefore, err := l.engineStatus(ctx)
+}
+
+// orderLayers sends the order to load the layers of a pass over their staged chunks.
+func (l *Loader) orderLayers(ctx context.Context, manifest *weights.Manifest, incarnation int64, pass *stagedPass) (engine.OrderResult, error) {
+	status, err := l.engineStatus(ctx)
 	if err != nil {
-		return statusBefore, engine.OrderRejected, err
+		return engine.OrderRejected, err
+	}
+	if status.Incarnation != incarnation {
+		// Staged chunks don't survive a loss of power.
+		return engine.OrderRejected, errors.New("the engine restarted while its staged chunks were read back")
+	}
+	age := pass.started.Elapsed()
+	timeout := corruptionTolerance - age
+	switch {
+	case age <= maxCheckAge:
+	case pass.isSmallest():
+		// The chunks are read back once more before the engine serves what it loads from them.
+		timeout = unconfirmedOrderTimeout
+	default:
+		return engine.OrderRejected, errors.Newf("the first staged chunk was read back %v ago", age)
 	}
 	version := versionOf(manifest)
-	result, err := l.engine.Load(ctx, engine.LoadOrder{Model: manifest.Model, Version: version, FencingToken: version, ExpectedOrders: statusBefore.Orders})
-	return statusBefore, result, err
+	order := engine.LoadOrder{Model: manifest.Model, Version: version, FencingToken: version, ExpectedOrders: status.Orders}
+	if pass.to < pass.layout.layers {
+		order.To = pass.to
+	}
+	previous := l.unconfirmed.orderSent(unconfirmedLoad{incarnation: incarnation, ordersBefore: status.Orders, version: version, from: pass.from})
+	orderCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	result, err := l.engine.Load(orderCtx, order)
+	switch {
+	case result == engine.OrderUnknown:
+	case result != engine.OrderAccepted:
+		l.unconfirmed.restore(previous)
+	case pass.started.Elapsed() <= corruptionTolerance:
+		l.unconfirmed.restore(nil)
+	}
+	if result == engine.OrderAccepted {
+		l.Log.Emit(event.LoadOrdered, event.Fields{
+			"model": manifest.Model, "version": version, "fromLayer": pass.from, "toLayer": pass.to, "orders": status.Orders, "running": status.Running,
+			"readBackMs": pass.took.Milliseconds(), "checkAgeMs": age.Milliseconds(),
+		})
+	}
+	return result, err
 }
 
-// stage uploads the chunks that are missing or corrupt at the engine, and reads all
-// chunks back, since staged data may become corrupt.
-func (l *Loader) stage(ctx context.Context, manifest *weights.Manifest) error {
-	for retries := 0; ; retries++ {
-		corrupt := 0
-		for index, chunk := range manifest.Positions() {
-			intact, err := l.stagedIntact(ctx, manifest.Model, index, chunk)
-			if err != nil {
-				return err
-			}
-			if intact {
-				continue
-			}
-			corrupt++
-			data, err := l.store.Get(ctx, chunk)
-			if err != nil {
-				return errors.Wrapf(err, "chunk %d", index)
-			}
-			if err := l.engine.StageChunk(ctx, manifest.Model, index, data); err != nil {
-				return err
-			}
+// awaitLayers waits until the engine has loaded the layers of a weight set up to, but not
+// including, the given one.
+func (l *Loader) awaitLayers(ctx context.Context, manifest *weights.Manifest, incarnation int64, to int) error {
+	for concurrency.Sleep(ctx, loadPollInterval) {
+		status, err := l.engineStatus(ctx)
+		switch newest, _ := l.weightSets.newest(); {
+		case err != nil:
+			return err
+		case status.Incarnation != incarnation:
+			return errors.New("the engine restarted during a load")
+		case newest != manifest:
+			return errors.New("a newer weight set is complete")
+		case status.Busy:
+			l.setStatus(status)
+			continue
+		case status.Layers.Version != versionOf(manifest) || status.Layers.To < to:
+			return errors.Newf("the engine ended the load of the layers below %d without success", to)
 		}
-		switch {
-		case corrupt == 0:
-			return nil
-		case retries == maxStageRetries:
-			return errors.Newf("%d staged chunks are still corrupt", corrupt)
+		l.setStatus(status)
+		if l.unconfirmed.accepted(status) {
+			l.confirmLoad(ctx)
+			if l.unconfirmed.accepted(status) {
+				return errors.Newf("the loaded layers below %d could not be confirmed", to)
+			}
 		}
+		return nil
 	}
-}
-
-// stagedIntact reports whether the engine has staged a chunk with the right digest.
-func (l *Loader) stagedIntact(ctx context.Context, model string, index int, chunk weights.Digest) (bool, error) {
-	data, err := l.engine.StagedChunk(ctx, model, index)
-	if errors.Is(err, platform.ErrNotFound) {
-		return false, nil
-	}
-	return weights.Sum(data) == chunk, err
+	return ctx.Err()
 }
 
 // awaitLoad waits until the engine serves the ordered version, and reports whether it does. It
@@ -176,7 +237,7 @@
 		if err != nil || status.Incarnation != incarnation {
 			return false
 		}
-		l.status.set(status, true)
+		l.setStatus(status)
 		if status.Version(manifest.Model) == versionOf(manifest) {
 			l.metrics.loadTime.Observe(time.Since(start).Seconds())
 			l.Log.Emit(event.LoadCompleted, event.Fields{"model": manifest.Model, "version": versionOf(manifest), "tookMs": time.Since(start).Milliseconds()})
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -24,6 +24,7 @@
 	"github.com/mimosaward/mimosaward/internal/membership"
 	"github.com/mimosaward/mimosaward/internal/membudget"
 	"github.com/mimosaward/mimosaward/internal/p2p"
+	"github.com/mimosaward/mimosaward/internal/stopwatch"
 	"github.com/mimosaward/mimosaward/internal/storewatch"
 	"github.com/mimosaward/mimosaward/internal/transport"
 	"github.com/mimosaward/mimosaward/internal/upstream"
@@ -52,6 +53,8 @@
 	// Dial connects to another process, DialControl to a gateway.
 	Dial        func(address string) (net.Conn, error)
 	DialControl func(ctx context.Context, address string) (net.Conn, error)
+	// BootTime returns the time since the machine started; nil means that of the system.
+	BootTime func() time.Duration
 
 	// failures receives the failure of a component without which the loader must not run.
 	failures       chan error
@@ -76,6 +79,7 @@
 	chunkLocations chunkLocations
 	mismatches     originMismatches
 	readiness      readiness
+	unconfirmed    unconfirmedLoads
 	// servingPeers are the instances whose engines already serve the weight set that
 	// this instance fetches.
 	servingPeers atomic.Pointer[[]membership.Instance]
@@ -139,6 +143,9 @@
 
 func (l *Loader) prepare() {
 	l.started = time.Now()
+	if l.BootTime == nil {
+		l.BootTime = stopwatch.BootTime
+	}
 	l.failures = make(chan error, 1)
 	l.metrics = newLoaderMetrics(l.Registry)
 	l.objects = platform.NewStore(l.Deployment.Store.Address, l.Dial)
--- a/internal/loader/status.go
+++ b/internal/loader/status.go
@@ -128,12 +128,19 @@
 		if err != nil {
 			status = l.status.current().Status
 		}
+		l.unconfirmed.withhold(&status)
 		l.addReadiness(&status)
 		l.status.set(status, err == nil)
 		concurrency.Tick(ctx, statusInterval)
 	}
 }
 
+// setStatus records the status of an engine that responded.
+func (l *Loader) setStatus(status engine.Status) {
+	l.unconfirmed.withhold(&status)
+	l.status.set(status, true)
+}
+
 func (l *Loader) logEngineState(err error) {
 	if err != nil {
 		l.Log.Emit(event.EngineUnreachable, event.Fields{"error": err.Error()})
