gateway: record crashes and rejections in the object store

Cause: crashes and rejections are in the memory of the gateways only. Digests bring them back to a gateway that starts, but not if no gateway lives on. Fingerprints of deadly requests are lost in the same way.

Change: internal/checkpoint keeps what the gateways know in one object of the store. The first live gateway by name writes it after news, with conditional writes, and others take over if it cannot. A gateway is ready only once it has read the record, or another gateway is ready.

Why this works: the record outlives all processes, and a gateway that serves has read it.

--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -15,6 +15,9 @@
 	if config := g.observer.Configuration(); config != nil {
 		digest.Configuration = config.Version()
 	}
+	if ago, wrote := g.checkpoint.WroteAgo(); wrote {
+		digest.WroteCheckpoint = max(ago, 1)
+	}
 	digest.Quarantine = g.quarantine.Digest(time.Now())
 	g.dispatcher.AddTo(&digest)
 	for _, rollout := range g.observer.Rollouts().All() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/mimosaward/mimosaward/internal/callerconn"
+	"github.com/mimosaward/mimosaward/internal/checkpoint"
 	"github.com/mimosaward/mimosaward/internal/concurrency"
 	"github.com/mimosaward/mimosaward/internal/configuration"
 	"github.com/mimosaward/mimosaward/internal/connpool"
@@ -99,6 +100,7 @@
 	controlServer *controlrpc.Server
 	loaderPoller  *loaderPoller
 	quarantine    *quarantine.Quarantine
+	checkpoint    *checkpoint.Keeper
 	crashDetector *crashDetector
 	drain         drain
 }
@@ -116,6 +118,8 @@
 	group.Go(g.register)
 	group.Go(g.pollLoaders)
 	group.Go(g.maintainHistory)
+	group.Go(g.checkpoint.Run)
+	group.Every(checkpoint.CheckInterval, g.checkpoint.Check)
 	group.Go(g.applySettings)
 	group.Go(g.peering.Run)
 	group.Go(g.peering.SyncCopies)
@@ -200,6 +204,7 @@
 	g.tasks = concurrency.NewGroup(concurrency.WithPanicHandler(context.Background(), g.handleTaskPanic))
 	g.controlClient = &controlrpc.Client{Dial: g.Dial}
 	g.quarantine = g.newQuarantine()
+	g.checkpoint = g.newCheckpoint()
 	g.crashDetector = &crashDetector{Dial: g.dialEndpoint, Leaving: g.leaving, OnCrash: g.recordCrash}
 	g.peering = &peering.Peering{
 		Self: g.self, Table: g.peerTable, Control: g.controlClient, BulkControl: &controlrpc.Client{Dial: g.Dial}, Log: g.Log,
@@ -331,7 +336,7 @@
 // yet that is as new as that of the other gateways.
 func (g *Gateway) configuration() *configuration.Configuration {
 	current := g.observer.Configuration()
-	if current == nil || !g.startup.complete(func() (caughtUp, known bool) { return g.caughtUp(current.Version()) }) {
+	if current == nil || !g.startup.complete(g.restored, func() (caughtUp, known bool) { return g.caughtUp(current.Version()) }) {
 		return nil
 	}
 	return current
--- a/internal/gateway/startup.go
+++ b/internal/gateway/startup.go
@@ -21,15 +21,16 @@
 	done      atomic.Bool
 }
 
-// complete reports whether the configuration may be used. caughtUp reports whether the gateway
-// knows what the others know, and whether there are others.
-func (s *startup) complete(caughtUp func() (caughtUp, known bool)) bool {
+// complete reports whether the configuration may be used. restored reports whether the gateway
+// knows what earlier ones recorded, and caughtUp whether it knows what the others know, and whether
+// there are others.
+func (s *startup) complete(restored func() bool, caughtUp func() (caughtUp, known bool)) bool {
 	if s.done.Load() {
 		return true
 	}
 	age := time.Since(s.startedAt)
 	done, known := caughtUp()
-	if (known && done) || (!known && age > discoveryTime) || age > maxCatchUpTime {
+	if ((known && done) || (!known && age > discoveryTime) || age > maxCatchUpTime) && restored() {
 		s.done.Store(true)
 	}
 	return s.done.Load()
--- a/internal/peering/digest.go
+++ b/internal/peering/digest.go
@@ -58,6 +58,9 @@
 	// BeginsReading is true while the gateway waits for the first responses of the object store,
 	// none of which has failed.
 	BeginsReading bool
+	// WroteCheckpoint is the time since the gateway wrote the checkpoint in the object store, 0 if it
+	// never did.
+	WroteCheckpoint time.Duration
 	// Others lists other gateways that are alive. Only some digests include them.
 	Others []Member
 	// AskOthers requests a reply that includes Others, AskReports one that includes
--- a/internal/peering/report.go
+++ b/internal/peering/report.go
@@ -31,6 +31,8 @@
 	Copies map[string]CopyState
 	// Configuration is the version of the configuration in force, 0 if there is none.
 	Configuration int64
+	// WroteCheckpoint is the time since the gateway wrote the checkpoint, 0 if it never did.
+	WroteCheckpoint time.Duration
 }
 
 // Capacity is a gateway's share of a service's endpoints.
@@ -49,5 +51,5 @@
 
 // summary returns the part of the digest for other cells.
 func (d *Digest) summary() Summary {
-	return Summary{Name: d.Member.Name, Incarnation: d.Member.Incarnation, Uptime: d.Uptime, Ready: d.Ready, Stopping: d.Stopping, Capacities: d.Capacities, ReadsStore: d.ReadsStore, Copies: d.Copies, Configuration: d.Configuration}
+	return Summary{Name: d.Member.Name, Incarnation: d.Member.Incarnation, Uptime: d.Uptime, Ready: d.Ready, Stopping: d.Stopping, Capacities: d.Capacities, ReadsStore: d.ReadsStore, Copies: d.Copies, Configuration: d.Configuration, WroteCheckpoint: d.WroteCheckpoint}
 }
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -146,7 +146,7 @@
 		member.Incarnation = summary.Incarnation
 		entry.peer = Peer{ReceivedAt: currentAt, Digest: Digest{
 			Member: member, Uptime: summary.Uptime, Ready: summary.Ready, Stopping: summary.Stopping, Capacities: summary.Capacities,
-			ReadsStore: summary.ReadsStore, Copies: summary.Copies, Configuration: summary.Configuration,
+			ReadsStore: summary.ReadsStore, Copies: summary.Copies, Configuration: summary.Configuration, WroteCheckpoint: summary.WroteCheckpoint,
 		}}
 	}
 }
--- a/internal/quarantine/digest.go
+++ b/internal/quarantine/digest.go
@@ -35,15 +35,23 @@
 	By string
 }
 
-// Digest returns what this gateway knows. Crashes that a rejection explains are left out.
-func (q *Quarantine) Digest(now time.Time) Digest {
+// Digest returns what this gateway knows. Crashes that a rejection explains, and those about which
+// nothing was learned for a while, are left out.
+func (q *Quarantine) Digest(now time.Time) Digest { return q.describe(now, shareTime) }
+
+// Record returns what this gateway knows and other gateways would need if all of them restarted.
+func (q *Quarantine) Record(now time.Time) Digest { return q.describe(now, crashWindow) }
+
+// describe returns the rejections, and the crashes that none of them explains and about which
+// something was learned within a time.
+func (q *Quarantine) describe(now time.Time, learnedWithin time.Duration) Digest {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.decide(now)
 	digest := Digest{Rejections: q.describeRejections(now)}
 	var shared []crashKey
 	for key, known := range q.crashes {
-		if now.Sub(known.changedAt) <= shareTime && !q.explained(known) {
+		if now.Sub(known.changedAt) <= learnedWithin && now.Sub(known.at) <= crashWindow && !q.explained(known) {
 			shared = append(shared, key)
 		}
 	}
--- a/internal/stopwatch/stopwatch.go
+++ b/internal/stopwatch/stopwatch.go
@@ -21,8 +21,11 @@
 	return Stopwatch{startedAt: time.Now(), startBootTime: bootTime(), bootTime: bootTime}
 }
 
-// Elapsed returns the time since the start.
+// Elapsed returns the time since the start, 0 for the zero value.
 func (s Stopwatch) Elapsed() time.Duration {
+	if s.bootTime == nil {
+		return 0
+	}
 	return max(time.Since(s.startedAt), s.bootTime()-s.startBootTime)
 }
 
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -163,6 +163,15 @@
 	})
 }
 
+// Era returns the newest era of the object store that a copy has.
+func (o *Observer) Era() int64 {
+	newest := int64(0)
+	for _, inf := range o.informers {
+		newest = max(newest, inf.Position().Era)
+	}
+	return newest
+}
+
 // Informers returns the informers added so far.
 func (o *Observer) Informers() []*informer.Informer { return slices.Clone(o.informers) }
 
