gateway: date versions that were named while no gateway ran

Cause: a gateway takes the moment at which it first reads a version for the one at which it was named. If no gateway ran then, all of them agree on a time that is too late. The record in the status of the object had the same flaw by the clock: it is the time of day of one gateway, which may step.

Evidence: a gateway reads version 2 at 16.4 s, which was confirmed at 14.0 s.

A gateway is not ready before its versions are dated, unless another one is ready. Recorded times are read and written by a clock that hides steps ahead of up to a minute. A process that was paused, or whose watch was silent, dates what it notices late in the same way. Loaders read the checkpoint when they follow the store, and adopt earlier dates.

Why this works: the bound is never later than the naming, so the rollout bound that follows from it is kept; it is at most a second and the length of the outage too early.

--- a/internal/checkpoint/keeper.go
+++ b/internal/checkpoint/keeper.go
@@ -27,6 +27,8 @@
 	CheckInterval = 200 * time.Millisecond
 	// minPause is the time without a check that counts as a pause of the process.
 	minPause = time.Second
+	// promptNotice is the time within which a change of an object is usually noticed.
+	promptNotice = 500 * time.Millisecond
 	// unknownAge is the age of an object that is older than all marks.
 	unknownAge = 24 * time.Hour
 	// takeoverDelay and takeoverRankDelay are the time without a write, and its increase per rank,
@@ -97,7 +99,7 @@
 
 // Run reads the record and then keeps it up to date until ctx is done.
 func (k *Keeper) Run(ctx context.Context) {
-	k.restore(ctx)
+	k.Restore(ctx)
 	var newsAt time.Time
 	failures := 0
 	for news := k.News(); ctx.Err() == nil; {
@@ -203,8 +205,7 @@
 	case initial:
 		// No gateway has run before, or the store was lost.
 		return time.Time{}, false
-	case len(k.marks) > 0 && now.Sub(k.wroteAt) < takeoverDelay && k.marks[len(k.marks)-1].Revision > revision:
-		// The object was noticed late: this gateway has written since.
+	case now.Sub(k.wroteAt) < takeoverDelay && k.noticedLate(revision, now):
 		return bound(k.date(k.marks, now), revision, now), true
 	}
 	if paused := k.checked.Elapsed(); paused >= minPause {
@@ -213,6 +214,14 @@
 	return k.pause.from, now.Sub(k.pause.to) < minPause
 }
 
+// noticedLate reports whether this gateway wrote the record after an object with a revision, a while
+// ago. The caller must hold mu.
+func (k *Keeper) noticedLate(revision int64, now time.Time) bool {
+	return slices.ContainsFunc(k.date(k.marks, now), func(mark datedMark) bool {
+		return mark.revision > revision && now.Sub(mark.at) > promptNotice
+	})
+}
+
 // bound returns the time of the last mark below a revision. An object that is older than all marks
 // is as old as can be.
 func bound(marks []datedMark, revision int64, now time.Time) time.Time {
@@ -238,8 +247,8 @@
 	return k.restored
 }
 
-// restore reads the record that earlier gateways left.
-func (k *Keeper) restore(ctx context.Context) {
+// Restore reads the record that earlier gateways left.
+func (k *Keeper) Restore(ctx context.Context) {
 	for failures := 0; ctx.Err() == nil; {
 		object, err := k.Get(ctx)
 		if err != nil && !errors.Is(err, informer.ErrNotFound) {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -63,6 +63,7 @@
 	ZoneReturned         = Event{2104, logrus.InfoLevel, "availability zone put back into service", noAction}
 	StoreRestored        = Event{2106, logrus.WarnLevel, "object store returned from an older copy of itself", "What was written since that copy is written again by its writers; check that the operators' last changes are in force."}
 	CheckpointRead       = Event{2107, logrus.InfoLevel, "checkpoint of the gateways read from the object store", noAction}
+	RolloutDated         = Event{2108, logrus.InfoLevel, "rollout may have been requested before it was noticed, taken to be that old", noAction}
 	RolloutRequested     = Event{2105, logrus.InfoLevel, "rollout requested by the operators", noAction}
 )
 
@@ -137,7 +138,7 @@
 	return []Event{
 		ProcessStarted, DrainStarted, DrainEnded, DrainTimedOut, ServerFailed, InvariantViolated, RecordsSuppressed, RecordsDropped, ProcessStopped, SettingsReloaded, SettingsIgnored, AcceptFailed, CallPanicked, TaskPanicked,
 		TicketsApplied, StoreUnreachable, StoreReachable, ParentChanged, FreshnessLost, FreshnessRestored, TicketUnreadable,
-		ConfigurationApplied, ObjectUnreadable, ZoneEvacuated, ZoneReturned, RolloutRequested, StoreRestored, CheckpointRead,
+		ConfigurationApplied, ObjectUnreadable, ZoneEvacuated, ZoneReturned, RolloutRequested, StoreRestored, CheckpointRead, RolloutDated,
 		GatewayAlive, GatewayUnresponsive, SnapshotAdopted, SnapshotFailed, CopyBehind,
 		RolloutStarted, SetComplete, ChunkCorrupt, PeerExcluded, LoadOrdered, LoadFailed, LoadCompleted, ManifestFailed,
 		ChunkMemoryTooSmall, SwapWaiting, RolloutAbandoned, EngineUnreachable, EngineReachable, GatewaysUnreachable, GatewaysReachable, FetchFailed, ManifestReplaced, OriginFailed, LoadConfirmed, LoadedCorrupt,
--- a/internal/gateway/checkpoint.go
+++ b/internal/gateway/checkpoint.go
@@ -9,7 +9,6 @@
 	"github.com/mimosaward/mimosaward/internal/informer"
 	"github.com/mimosaward/mimosaward/internal/peering"
 	"github.com/mimosaward/mimosaward/internal/quarantine"
-	"github.com/mimosaward/mimosaward/internal/timeofday"
 )
 
 // newCheckpoint returns the keeper of the record that outlives all gateways.
@@ -26,8 +25,8 @@
 		},
 		Collect: g.quarantine.Record,
 		Merge:   func(digest quarantine.Digest, now time.Time) { g.quarantine.Merge(digest, false, now) },
-		News:    g.quarantine.News, Rank: g.rank, OthersWroteAgo: g.othersWroteCheckpointAgo, OnRestored: func() {},
-		Periodic: g.isSingleCell, Era: g.observer.Era, Clock: timeofday.New(), Log: g.Log,
+		News:    g.quarantine.News, Rank: g.rank, OthersWroteAgo: g.othersWroteCheckpointAgo, OnRestored: g.observer.DateVersions,
+		Periodic: g.isSingleCell, Era: g.observer.Era, Clock: g.clock, Log: g.Log,
 	}
 }
 
@@ -56,9 +55,27 @@
 // the object store answers other calls only.
 const maxRestoreTime = 5 * time.Second
 
-// restored reports whether this gateway knows what earlier ones recorded: it has read the checkpoint,
-// or another gateway is ready and shares what it knows.
+// restored reports whether this gateway knows what earlier ones recorded: it has read the checkpoint
+// and applied it, or another gateway is ready and shares what it knows.
 func (g *Gateway) restored() bool {
-	return g.checkpoint.Restored() || time.Since(g.startup.startedAt) > maxRestoreTime ||
-		slices.ContainsFunc(g.peerTable.Alive(), func(peer peering.Peer) bool { return peer.Digest.Ready })
+	return g.checkpoint.Restored() && g.observer.VersionsDated() || time.Since(g.startup.startedAt) > maxRestoreTime || g.otherReady()
+}
+
+// otherReady reports whether another gateway is ready.
+func (g *Gateway) otherReady() bool {
+	return slices.ContainsFunc(g.peerTable.Alive(), func(peer peering.Peer) bool { return peer.Digest.Ready })
+}
+
+// versionNotWrittenBefore returns a time before which a version was not requested; see
+// storewatch.Observer. A gateway that starts beside others that are ready learns from them since
+// when a version is known.
+func (g *Gateway) versionNotWrittenBefore(revision int64, initial bool) (at time.Time, earlier, ready bool) {
+	switch {
+	case initial && g.otherReady():
+		return time.Time{}, false, true
+	case initial && (!g.checkpoint.Restored() || time.Since(g.startup.startedAt) < discoveryTime):
+		return time.Time{}, false, false
+	}
+	at, earlier = g.checkpoint.NotWrittenBefore(revision, initial)
+	return at, earlier, true
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"github.com/mimosaward/mimosaward/internal/quarantine"
 	"github.com/mimosaward/mimosaward/internal/retry"
 	"github.com/mimosaward/mimosaward/internal/storewatch"
+	"github.com/mimosaward/mimosaward/internal/timeofday"
 	"github.com/mimosaward/mimosaward/platform"
 )
 
@@ -101,6 +102,7 @@
 	loaderPoller  *loaderPoller
 	quarantine    *quarantine.Quarantine
 	checkpoint    *checkpoint.Keeper
+	clock         *timeofday.Clock
 	crashDetector *crashDetector
 	drain         drain
 }
@@ -186,10 +188,12 @@
 		Callers: g.Deployment.Listen.Clients, Control: g.Deployment.Listen.Control, Incarnation: time.Now().UnixMilli(),
 	}
 	g.store = platform.NewStore(g.Deployment.Store.Address, g.DialStore)
+	g.clock = timeofday.New()
 	g.peerTable = &peering.Table{Self: g.self, Start: time.Now()}
 	g.observer = (&storewatch.Observer{
 		List: g.store.List, Watch: g.store.Watch, Reads: g.peerTable.IsReader, Verifies: g.peerTable.Verifies,
 		Anchored: func() bool { return g.peerTable.Anchors(platform.KindEndpoints) }, Reserved: g.reservedAddress, Regions: g.Deployment.Regions, Log: g.Log,
+		NotWrittenBefore: g.versionNotWrittenBefore, RecordedTime: g.clock.Now,
 	}).Init()
 	g.members = g.observer.AddInformer(gatewayKind, memberCoalesceDelay, g.applyMembers)
 	g.dispatcher = &dispatch.Dispatcher{
--- a/internal/gateway/loaders.go
+++ b/internal/gateway/loaders.go
@@ -79,11 +79,14 @@
 	address := net.JoinHostPort(host, strconv.Itoa(loader.ControlPort(p.Ports)))
 	var statusNumber int64
 	var planNumbers loader.PlanVersions
+	repliedAt := time.Now()
 	reachable := true
 	for ctx.Err() == nil {
 		args := loader.StatusArgs{Known: statusNumber, Wait: statusPollWait}
 		if plan, ok := p.Plan(endpoint.Service); ok {
-			args.Plan, _ = plan.NewerThan(planNumbers)
+			known := planNumbers
+			known.WantedAge += time.Since(repliedAt)
+			args.Plan, _ = plan.NewerThan(known)
 		}
 		var reply loader.StatusReply
 		callCtx, cancel := context.WithTimeout(ctx, statusPollWait+statusPollMargin)
@@ -101,7 +104,7 @@
 			concurrency.Sleep(ctx, statusRetryDelay)
 			continue
 		}
-		statusNumber, planNumbers = reply.Number, reply.PlanKnown
+		statusNumber, planNumbers, repliedAt = reply.Number, reply.PlanKnown, time.Now()
 		if reply.Number > 0 {
 			p.OnStatus(endpoint.ID, reply.Status, reply.Answering)
 		}
@@ -163,10 +166,11 @@
 	}
 }
 
-// loaderPlan returns the plan of a service's loaders.
+// loaderPlan returns the plan of a service's loaders. A gateway that may not know yet since when a
+// version is wanted has none.
 func (g *Gateway) loaderPlan(service string) (loader.Plan, bool) {
 	config := g.observer.Configuration()
-	if config == nil {
+	if config == nil || !g.restored() {
 		return loader.Plan{}, false
 	}
 	return loader.NewPlan(config, g.observer.ClusterState(), service, g.Deployment.PeerPorts, g.observer.Rollouts().KnownSince)
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -46,6 +46,10 @@
 // their rank, so that usually only one writes.
 func (g *Gateway) maintainHistory(ctx context.Context) {
 	for concurrency.Tick(ctx, historyInterval) {
+		g.observer.DateVersions()
+		if !g.observer.VersionsDated() {
+			continue
+		}
 		for name, object := range g.observer.RolloutObjects() {
 			model, version, err := platform.DecodeRollout(object.Name, object.Value)
 			if err != nil {
@@ -65,7 +69,8 @@
 func (g *Gateway) writeHistory(ctx context.Context, name, model string, object informer.Object) {
 	var history []storewatch.VersionRecord
 	for _, rollout := range g.observer.Rollouts().History(model) {
-		history = append(history, storewatch.VersionRecord{Version: rollout.Version, KnownSinceUnixMilli: rollout.Since.UnixMilli()})
+		since := g.clock.Now().Add(-time.Since(rollout.Since))
+		history = append(history, storewatch.VersionRecord{Version: rollout.Version, KnownSinceUnixMilli: since.UnixMilli()})
 	}
 	err := g.store.SetStatus(ctx, platform.KindRollouts, name, object.Revision, history)
 	switch {
--- a/internal/integration/restartedgateways_test.go
+++ b/internal/integration/restartedgateways_test.go
@@ -117,3 +117,79 @@
 		})
 	}
 }
+
+// Guards against requests that begin on a replaced version after the bound, since no gateway ran when
+// the new one was requested: it was taken to be as old as the return of the gateways.
+func TestVersionRequestedWhileNoGatewayRuns(t *testing.T) {
+	for name, test := range map[string]struct {
+		// away is how long the gateways are away, and requestedAfter the time from their end until
+		// the version is requested.
+		away, requestedAfter time.Duration
+		// loadersToo is true if all processes end.
+		loadersToo bool
+	}{
+		"right after their end":                 {away: 2 * time.Second, requestedAfter: 20 * time.Millisecond},
+		"right before their return":             {away: 2 * time.Second, requestedAfter: 1900 * time.Millisecond},
+		"while loaders read the store":          {away: 5 * time.Second, requestedAfter: 500 * time.Millisecond},
+		"while no process runs":                 {away: 2 * time.Second, requestedAfter: 20 * time.Millisecond, loadersToo: true},
+		"while no process runs for a long time": {away: 20 * time.Second, requestedAfter: 20 * time.Millisecond, loadersToo: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withInstallation(t, func(i *installation) {
+				// No engine gets the new version.
+				for _, endpoint := range i.engines() {
+					i.network.Disconnect("loader-"+endpoint.ID, "origin")
+				}
+				time.Sleep(2 * time.Second)
+				for zone := range zoneCount {
+					i.processes[gatewayName(zone)].stop()
+				}
+				for zone := range zoneCount {
+					i.stopProcess(gatewayName(zone))
+				}
+				if test.loadersToo {
+					for _, endpoint := range i.engines() {
+						i.stopProcess("loader-" + endpoint.ID)
+					}
+				}
+				time.Sleep(test.requestedAfter)
+				requestedAt := time.Now()
+				i.store.RequestRollout(modelName, 2)
+				time.Sleep(test.away - test.requestedAfter)
+				for zone := range zoneCount {
+					i.startGateway(zone)
+				}
+				if test.loadersToo {
+					for zone := range zoneCount {
+						i.startLoader(zone, 0)
+						i.startLoader(zone, 1)
+					}
+				}
+				time.Sleep(startupTime)
+				for time.Since(requestedAt) < bounds.Rollout+5*time.Second {
+					for zone := range zoneCount {
+						i.do(i.chatCall(zone))
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+				late, early := 0, 0
+				for _, endpoint := range i.engines() {
+					for _, run := range endpoint.Executions() {
+						switch began := run.BeganAt.Sub(requestedAt); {
+						case began > bounds.Rollout:
+							late++
+						case began > 0:
+							early++
+						}
+					}
+				}
+				if late > 0 {
+					t.Errorf("%d requests began on version 1 later than %v after version 2 was requested", late, bounds.Rollout)
+				}
+				if served := startupTime+test.away-test.requestedAfter < bounds.Rollout-3*time.Second; served && early == 0 {
+					t.Error("no request was served on version 1 before that")
+				}
+			})
+		})
+	}
+}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -17,15 +17,19 @@
 
 	"github.com/mimosaward/mimosaward/internal/bytesize"
 	"github.com/mimosaward/mimosaward/internal/callerconn"
+	"github.com/mimosaward/mimosaward/internal/checkpoint"
 	"github.com/mimosaward/mimosaward/internal/concurrency"
 	"github.com/mimosaward/mimosaward/internal/controlrpc"
 	"github.com/mimosaward/mimosaward/internal/deployment"
 	"github.com/mimosaward/mimosaward/internal/event"
+	"github.com/mimosaward/mimosaward/internal/informer"
 	"github.com/mimosaward/mimosaward/internal/membership"
 	"github.com/mimosaward/mimosaward/internal/membudget"
 	"github.com/mimosaward/mimosaward/internal/p2p"
+	"github.com/mimosaward/mimosaward/internal/quarantine"
 	"github.com/mimosaward/mimosaward/internal/stopwatch"
 	"github.com/mimosaward/mimosaward/internal/storewatch"
+	"github.com/mimosaward/mimosaward/internal/timeofday"
 	"github.com/mimosaward/mimosaward/internal/transport"
 	"github.com/mimosaward/mimosaward/internal/upstream"
 	"github.com/mimosaward/mimosaward/internal/weights"
@@ -183,9 +187,26 @@
 	return server, errors.Wrap(err, "register the loader's service")
 }
 
-// newObserver returns an observer of the object store.
-func (l *Loader) newObserver() *storewatch.Observer {
-	return (&storewatch.Observer{List: l.objects.List, Watch: l.objects.Watch, Regions: l.Deployment.Regions, Log: l.Log}).Init()
+// newObserver returns an observer of the object store, and the keeper of the gateways' record, which
+// tells how old a version may be that was requested while no gateway ran.
+func (l *Loader) newObserver() (*storewatch.Observer, *checkpoint.Keeper) {
+	clock := timeofday.New()
+	record := &checkpoint.Keeper{
+		Get: func(ctx context.Context) (informer.Object, error) {
+			return l.objects.Get(ctx, checkpoint.Kind, checkpoint.Name)
+		},
+		Merge: func(quarantine.Digest, time.Time) {}, Clock: clock, Log: l.Log,
+	}
+	observer := &storewatch.Observer{List: l.objects.List, Watch: l.objects.Watch, Regions: l.Deployment.Regions, Log: l.Log, RecordedTime: clock.Now}
+	observer.NotWrittenBefore = func(revision int64, initial bool) (at time.Time, earlier, ready bool) {
+		if !initial || !record.Restored() {
+			return time.Time{}, false, !initial
+		}
+		at, earlier = record.NotWrittenBefore(revision, true)
+		return at, earlier, true
+	}
+	record.OnRestored = observer.DateVersions
+	return observer.Init(), record
 }
 
 // self describes this instance as a node of the distribution topology.
--- a/internal/loader/observe.go
+++ b/internal/loader/observe.go
@@ -149,13 +149,14 @@
 
 // followStore derives the plan from the object store until a gateway calls.
 func (l *Loader) followStore(ctx context.Context) {
-	observer := l.newObserver()
+	observer, record := l.newObserver()
 	group := concurrency.NewGroup(ctx)
 	group.Go(observer.Run)
+	group.Go(record.Restore)
 	since := time.Now()
 	for l.plans.lastContact().Before(since) && concurrency.Sleep(ctx, storePlanInterval) {
 		current := observer.Configuration()
-		if current == nil {
+		if current == nil || !observer.VersionsDated() {
 			continue
 		}
 		if plan, complete := NewPlan(current, observer.ClusterState(), l.Deployment.Endpoint.Service, l.Deployment.PeerPorts, observer.Rollouts().KnownSince); complete {
--- a/internal/loader/plan.go
+++ b/internal/loader/plan.go
@@ -73,16 +73,22 @@
 
 func allMembers(Member) bool { return true }
 
-// PlanVersions holds the versions of a plan's parts, 0 for a part that is unknown.
+// PlanVersions holds the versions of a plan's parts, 0 for a part that is unknown. WantedAge is the
+// time since the wanted version became known.
 type PlanVersions struct {
-	Model   int64
-	Wanted  int64
-	Members informer.Position
+	Model     int64
+	Wanted    int64
+	WantedAge time.Duration
+	Members   informer.Position
 }
 
+// minAgeDifference is the difference of two ages of the wanted version above which the part with the
+// greater age is the newer one.
+const minAgeDifference = 200 * time.Millisecond
+
 // Versions returns the versions of the plan's parts.
 func (p *Plan) Versions() PlanVersions {
-	return PlanVersions{Model: p.Model.Version, Wanted: p.Wanted.Version, Members: p.Members.Position}
+	return PlanVersions{Model: p.Model.Version, Wanted: p.Wanted.Version, WantedAge: p.Wanted.Age, Members: p.Members.Position}
 }
 
 // NewerThan returns the parts that are newer than the given versions, and false if there
@@ -92,7 +98,7 @@
 	if p.Model.Version > versions.Model {
 		newer.Model = p.Model
 	}
-	if p.Wanted.Version > versions.Wanted {
+	if p.Wanted.Version > versions.Wanted || (p.Wanted.Version == versions.Wanted && p.Wanted.Age > versions.WantedAge+minAgeDifference) {
 		newer.Wanted = p.Wanted
 	}
 	if p.Members.Position.After(versions.Members) {
@@ -119,7 +125,7 @@
 func (h *planHolder) merge(plan Plan) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	newer, hasNewer := plan.NewerThan(h.plan.Versions())
+	newer, hasNewer := plan.NewerThan(h.versions())
 	if !hasNewer {
 		return
 	}
@@ -137,6 +143,22 @@
 	h.changed = make(chan struct{})
 }
 
+// versions returns the versions of the plan's parts at this moment. The caller must hold mu.
+func (h *planHolder) versions() PlanVersions {
+	versions := h.plan.Versions()
+	if since, known := h.knownSince[versions.Wanted]; known {
+		versions.WantedAge = time.Since(since)
+	}
+	return versions
+}
+
+// currentVersions returns the versions of the plan's parts at this moment.
+func (h *planHolder) currentVersions() PlanVersions {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.versions()
+}
+
 // recordContact records the time of a call from a gateway.
 func (h *planHolder) recordContact() {
 	h.mu.Lock()
--- a/internal/loader/status.go
+++ b/internal/loader/status.go
@@ -70,8 +70,7 @@
 	s.loader.plans.merge(args.Plan)
 	s.loader.plans.recordContact()
 	*reply = s.loader.status.waitNewer(ctx, args.Known)
-	plan, _ := s.loader.plans.current()
-	reply.PlanKnown = plan.Versions()
+	reply.PlanKnown = s.loader.plans.currentVersions()
 	return nil
 }
 
--- a/internal/storewatch/apply.go
+++ b/internal/storewatch/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strings"
 	"time"
 
@@ -113,11 +114,84 @@
 		}
 		versions[model] = version
 		o.mergeStatusHistory(model, object)
-		if o.rollouts.add(model, version, time.Now()) {
+		added := o.rollouts.add(model, version, time.Now())
+		if added {
 			o.Log.Emit(event.RolloutRequested, event.Fields{"model": model, "version": version, "revision": object.Revision})
 		}
+		if !StatusHasVersion(object, version) {
+			o.dateVersion(undatedVersion{model: model, version: version, revision: object.Revision}, added)
+		}
 	}
 	o.clusterState.SetWantedVersions(versions)
+	o.mu.Lock()
+	o.rolloutsApplied = true
+	o.mu.Unlock()
+	o.DateVersions()
+}
+
+// undatedVersion is a version of a model that was in the first copy, without a record of when it
+// became known.
+type undatedVersion struct {
+	model    string
+	version  int64
+	revision int64
+}
+
+// dateVersion corrects the time since which a version is known if it was requested before it was
+// noticed. What is not known to be recent is taken to be old. A version of the first copy is dated
+// also if another gateway told of it, which may have just started too; a later one only if it was
+// added.
+func (o *Observer) dateVersion(found undatedVersion, added bool) {
+	if o.NotWrittenBefore == nil {
+		return
+	}
+	o.mu.Lock()
+	initial := !o.rolloutsApplied
+	if initial {
+		o.undated = append(o.undated, found)
+	}
+	o.mu.Unlock()
+	if initial || !added {
+		return
+	}
+	if at, earlier, ready := o.NotWrittenBefore(found.revision, false); ready && earlier {
+		o.correctVersion(found, at)
+	}
+}
+
+// VersionsDated reports whether the first copy was received and its versions are dated as well as they
+// can be.
+func (o *Observer) VersionsDated() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.rolloutsApplied && len(o.undated) == 0
+}
+
+// DateVersions dates the versions of the first copy if NotWrittenBefore can tell by now.
+func (o *Observer) DateVersions() {
+	o.mu.Lock()
+	undated := slices.Clone(o.undated)
+	o.mu.Unlock()
+	for _, found := range undated {
+		at, earlier, ready := o.NotWrittenBefore(found.revision, true)
+		if !ready {
+			return
+		}
+		if earlier {
+			o.correctVersion(found, at)
+		}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.undated = slices.DeleteFunc(o.undated, func(found undatedVersion) bool { return slices.Contains(undated, found) })
+}
+
+func (o *Observer) correctVersion(found undatedVersion, at time.Time) {
+	o.rollouts.Merge(found.model, found.version, at)
+	o.Log.Emit(event.RolloutDated, event.Fields{
+		"model": found.model, "version": found.version, "revision": found.revision, "ageMs": time.Since(at).Milliseconds(),
+	})
+	o.notifyChange()
 }
 
 // VersionRecord records the wall-clock time at which a version became known. It is
@@ -145,7 +219,7 @@
 		// From here on, the age does not follow steps of the time of day. If the clock of the
 		// writer is ahead, the version became known no later than now.
 		now := time.Now()
-		age := max(0, now.Round(0).Sub(time.UnixMilli(record.KnownSinceUnixMilli)))
+		age := max(0, o.RecordedTime().Round(0).Sub(time.UnixMilli(record.KnownSinceUnixMilli)))
 		o.rollouts.Merge(model, record.Version, now.Add(-age))
 	}
 }
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -55,6 +55,13 @@
 	// Reserved reports whether an address belongs to a process other than an endpoint; nil means
 	// that none does.
 	Reserved func(address string) bool
+	// NotWrittenBefore returns a time before which an object with a revision was not written, false
+	// if it was written right before it was noticed. initial is true if the object was in the first
+	// copy. While ready is false, the time is not known yet. A nil function means that objects are
+	// noticed right after they were written.
+	NotWrittenBefore func(revision int64, initial bool) (at time.Time, earlier, ready bool)
+	// RecordedTime is the time of day with which recorded times are compared; nil means time.Now.
+	RecordedTime func() time.Time
 	// Regions maps each availability zone to its region.
 	Regions map[string]string
 	Log     *event.Logger
@@ -76,11 +83,18 @@
 	reportedUnreadable map[string]informer.Position
 	// recordsRead holds the records of versions whose times were converted.
 	recordsRead map[recordOfModel]bool
+	// rolloutsApplied is true once a copy of the rollouts was applied, and undated holds the versions
+	// in it of which it is not known yet when they were requested.
+	rolloutsApplied bool
+	undated         []undatedVersion
 }
 
 // Init initializes the observer and returns it.
 func (o *Observer) Init() *Observer {
 	o.clusterState = clusterstate.NewStore()
+	if o.RecordedTime == nil {
+		o.RecordedTime = time.Now
+	}
 	o.changed = make(chan struct{})
 	o.reportedUnreadable = map[string]informer.Position{}
 	if o.Anchored != nil {
