--- a/internal/checkpoint/keeper_test.go
+++ b/internal/checkpoint/keeper_test.go
@@ -141,3 +141,48 @@
 		}
 	})
 }
+
+// Guards against a version that is taken for younger than it is since the process was paused, or its
+// watch silent, while the version was requested.
+func TestLateNoticeIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{}
+		keeper, _ := keeperOn(store, 0, "a")
+		keeper.Restore(t.Context())
+		var marks []Mark
+		for range 3 {
+			keeper.Check(t.Context())
+			if _, err := keeper.write(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			marks = append(marks, keeper.marks[len(keeper.marks)-1])
+			time.Sleep(WriteInterval - CheckInterval/2)
+		}
+		ageOf := func(revision int64) time.Duration {
+			at, earlier := keeper.NotWrittenBefore(revision, false)
+			if !earlier {
+				return 0
+			}
+			return time.Since(at).Round(10 * time.Millisecond)
+		}
+		got := map[string]time.Duration{"prompt": ageOf(marks[2].Revision + 1), "after the first write": ageOf(marks[0].Revision + 1)}
+		time.Sleep(CheckInterval / 2)
+		keeper.Check(t.Context())
+		time.Sleep(2500 * time.Millisecond)
+		got["during a pause"] = ageOf(marks[2].Revision + 1)
+		keeper.Check(t.Context())
+		got["during a pause that was noticed"] = ageOf(marks[2].Revision + 1)
+		for range 10 {
+			time.Sleep(CheckInterval)
+			keeper.Check(t.Context())
+		}
+		got["after a pause"] = ageOf(marks[2].Revision + 1)
+		want := map[string]time.Duration{
+			"prompt": 0, "after the first write": 3 * (WriteInterval - CheckInterval/2), "during a pause": 2500 * time.Millisecond,
+			"during a pause that was noticed": 2500 * time.Millisecond, "after a pause": 0,
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("ages of versions (-want +got):\n%s", diff)
+		}
+	})
+}
