--- a/internal/stopwatch/stopwatch_test.go
+++ b/internal/stopwatch/stopwatch_test.go
@@ -23,6 +23,7 @@
 	})
 }
 
+// Guards against a system without the clock, on which suspensions would not be noticed.
 func TestBootTimeAdvances(t *testing.T) {
 	before := stopwatch.BootTime()
 	time.Sleep(10 * time.Millisecond)
